--- /dev/null
+++ b/src/balance.cpp
@@ -0,0 +1,673 @@
+// Every decision of kestrelhall. The interface is include/kestrelhall/balancer.hpp.
+//
+// The path of a request: on(RequestArrived) takes it and sets its timer; place() sheds it if it can't be
+// answered any more, looks for room (admission) and for a server: one whose backoff is over gets it as
+// half-open trial, else pick() draws two live servers of our part of the pool and takes the one with fewer of
+// our outstanding requests; dispatch() sends it, to run to the client's deadline. If nobody may have it now
+// it is held briefly. on(AttemptEnded) books the outcome in the server's window (judge(): removal, return, a
+// class's shun) and places the request again or answers it. finish() is the only final answer, may_send() and
+// may_refuse() the only gates: no send and no refusal leaves without passing them.
+#include <algorithm>
+#include <cmath>
+#include <map>
+#include <set>
+#include <unordered_map>
+
+#include "kestrelhall/balancer.hpp"
+#include "state.hpp"
+#include "support.hpp"
+
+namespace kestrelhall {
+
+namespace {
+
+// The mechanism's own figures: io.l5d.successRate as its authors demonstrated it.
+constexpr std::size_t kWindow = 20;
+constexpr double kThreshold = 0.9;
+constexpr Millis kBackoff = 10000;
+
+constexpr Millis kRateMemory = 5000;        // of means and rates: long against gaps, short against a warm-up
+constexpr double kSamples = kWindow / 2.0;  // or this many, where they come sooner
+// Servers that a class worth more is confined to are taken by others where they answer in so much less time.
+constexpr double kLeave = 0.5;
+constexpr Millis kMixMemory = 4 * kRateMemory;  // of who asks for how much
+constexpr double kMixPrior = 20;     // requests that as good as stand in the mix at the shares agreed
+constexpr double kHopeless = 1.25;   // of what an answer takes: with less time left a try is as good as lost
+constexpr double kLeastPace = 0.05;  // below this share of the aim, quicker is no better
+constexpr double kKindWorth = 3;  // answers of its own that weigh as much as what is known of a server's kind
+// Retry budget: a fifth more attempts than requests in the long run, and this many at a stretch.
+constexpr double kRetryShare = 0.2, kRetryBurst = 10;
+// Admission: attempts out are kept to what brings the mean answer in at this share of its aim: more makes the
+// slower answers late and overdrives servers, less refuses where service alone takes that long. The bound
+// starts far off, moves by a share for the time passed, and leaves kLeast of the demand.
+constexpr double kAimShare = 0.46, kRoomAtStart = 1000, kRoomGain = 0.004, kLeast = 0.25;
+constexpr double kFeed = 0.7;  // of the multiple that fells a cold server; the rest is for unlike machines
+constexpr double kFloor = 4;   // attempts at a server by all sidecars together that admission always leaves
+constexpr double kHold = 1.0 / 16;  // of the aim: what cannot go out by then had better be tried anew
+// The part of the room that is there for every class, however little its worth, and all that repeats get: a
+// repeat's aim has been running since its first try.
+constexpr double kCommonRoom = 0.6;
+constexpr Millis kSurvey = 100;  // between passes over all servers; a server warms and fills slower than that
+constexpr int kDraws = 16;       // of a server for our part, before what we have must do
+constexpr Millis kResubscribe = 1000;  // first wait after a failed call for the list; doubles up to 8 of it
+
+}  // namespace
+
+struct Balancer::Impl {
+    Impl(Settings s, std::uint64_t seed) : settings(std::move(s)), random(seed) {
+        validate(settings);
+        for (const RequestClass& c : settings.classes) top_worth = std::max(top_worth, c.worth);
+    }
+
+    Settings settings;
+    Random random;
+    Millis now = 0;
+    std::vector<Action>* actions = nullptr;
+    std::map<ServerId, Server> servers;
+    std::unordered_map<RequestId, Request> requests;                  // never iterated
+    std::unordered_map<TimerToken, std::optional<RequestId>> timers;  // none: the list's
+    TimerToken next_token = 1;
+    std::uint64_t next_order = 0;
+    Millis resubscribe = kResubscribe;
+    double retry_budget = kRetryBurst;
+    int outstanding = 0;  // at servers that were warm when asked
+    double mean_out = 0;  // the same, its mean over time of late
+    Millis mean_at = 0;
+    Tally wanted;              // the aims of first tries
+    std::vector<Tally> asked;  // by tenant
+    Tally asked_by_all;
+    std::map<std::uint32_t, Mean> took;  // by an answer, by class
+    Mean answered{1};                    // share of attempts answered in time, of late
+    std::map<KindId, Mean> kind_pace;
+    std::map<std::pair<ZoneId, KindId>, Mean> place_pace;
+    Mean crowding;  // answers' time against their aim, of late
+    double top_worth = 1e-9;
+    double room = kRoomAtStart;   // attempts that may be outstanding
+    std::vector<RequestId> held;  // may name finished ones
+    std::vector<RequestId> done;  // ended during this event
+    std::vector<Server*> fleet;   // listed as on
+    std::vector<Server*> used;    // our part of the pool, and what has just left it
+    std::vector<Server*> cold;    // of the fleet, when last listed
+    std::set<ServerId> ejected;   // removed from the pool
+    // Of the fleet, as last surveyed: completed by a warm server for us in a millisecond; warm and in the
+    // pool.
+    double warm_rate = 0, warm_live = 0;
+    Millis surveyed_at = -kSurvey;
+
+    void act(const auto& action) { actions->emplace_back(action); }
+
+    // ---- The rules: the only gates ----------------------------------------------------------------------
+
+    bool proves_never_ran(Outcome o) const {
+        return o == Outcome::refused_connection || o == Outcome::superseded ||
+               (o == Outcome::saturated && !settings.saturated_is_no_proof);
+    }
+
+    // Placement. A class we don't know might be bound as any of ours: it may go only where all of them may.
+    bool open_to(std::uint32_t class_index, const ServerInfo& s) const {
+        const auto open = [&](const RequestClass& c) {
+            return holds(c.zones, s.zone) && holds(c.kinds, s.kind);
+        };
+        const auto& all = settings.classes;
+        return class_index < all.size() ? open(all[class_index]) : std::all_of(all.begin(), all.end(), open);
+    }
+
+    bool in_scope(const Request& r, const Attempt& a, const ServerInfo& s) const {
+        if (r.kind.dedup_scope == DedupScope::all) return true;
+        return r.kind.dedup_scope == DedupScope::zone ? a.to.zone == s.zone : a.to.cell == s.cell;
+    }
+
+    bool may_send(const Request& r, Server& s) {
+        if (r.ended || r.streaming || now >= r.deadline) return false;  // rule 1
+        if (r.attempts.size() >= settings.max_attempts) return false;
+        if (!open_to(r.class_index, s.info)) return false;         // placement
+        if (!s.listed || s.info.phase != Phase::on) return false;  // rule 3
+        if (r.any_out() && (!settings.parallel_tries || r.kind.effect == Effect::once)) return false;
+        if (r.kind.effect == Effect::once && r.first_possible_run()) return false;  // rule 2
+        if (r.kind.effect == Effect::by_key)
+            if (const Attempt* first = r.first_possible_run()) {
+                if (now >= first->sent_at + r.kind.dedup_window) return false;
+                for (const Attempt& a : r.attempts)
+                    if (a.may_have_run && !in_scope(r, a, s.info)) return false;
+            }
+        return !is_cold(s) || cold_tokens(s) >= 1;  // rule 4
+    }
+
+    bool may_refuse(const Request& r) const {
+        const Attempt* first = r.first_possible_run();
+        if (r.ended || r.streaming) return false;
+        if (!first || r.kind.effect == Effect::repeatable) return true;
+        return r.kind.effect == Effect::by_key && r.kind.dedup_scope == DedupScope::all &&
+               now < first->sent_at + r.kind.dedup_window;
+    }
+
+    // Slow start. A server of age a does at least cold_from of its work, rising evenly to all of it at
+    // warm_within. We send it that share of what a warm server carries for us (not of the mean of all, which
+    // starting servers pull down), so the sum over all sidecars stays within what it can do without agreement
+    // among them. Carried, not asked for: in a storm of retries that is many times what a warm server can do.
+    bool is_cold(const Server& s) const {
+        return settings.warm_within > 0 && s.info.online_since > 0 &&
+               now < s.info.online_since + settings.warm_within;
+    }
+    // Passes over all servers are made at most this often: in a large fleet they cost more than all else.
+    void survey() {
+        if (now < surveyed_at + kSurvey) return;
+        surveyed_at = now;
+        double sum = 0, warm = 0;
+        warm_live = 0;
+        for (const Server* s : fleet) {
+            if (is_cold(*s)) continue;
+            sum += s->carried.at_time(now, kRateMemory), ++warm;
+            warm_live += s->standing == Standing::live;
+        }
+        warm_rate = sum / std::max(1.0, warm) / kRateMemory;
+    }
+    double cold_tokens(Server& s) {
+        const double age = std::max(0.0, now - s.info.online_since) / settings.warm_within;
+        const double share = settings.cold_from + (1 - settings.cold_from) * std::min(1.0, age);
+        // While its answers come in time most of what would push it over; else just its share. Within that
+        // its outstanding requests decide, as everywhere.
+        const double feed = s.pace.value > kAimShare ? 1 : std::max(1.0, kFeed * settings.fall_multiple);
+        // Never less than the trials of a few sidecars: that much from each of a thousand pushes it over.
+        survey();
+        const double fed = std::max(feed * share * warm_rate, our_part() / kBackoff);
+        s.tokens = std::min(s.tokens + (now - s.tokens_at) * fed, 1.0);
+        s.tokens_at = now;
+        return s.tokens;
+    }
+
+    // ---- Membership -------------------------------------------------------------------------------------
+
+    void on(const Started&) {
+        if (settings.list_on_request) act(Subscribe{true});
+    }
+
+    void on(const ServerList& list) {
+        if (list.kind == ListKind::failed) {
+            // The list is one service for all: come back later and not in step with the others, but in time:
+            // who has not asked for ask_within counts as told of every drain (rule 3).
+            const Millis most = settings.ask_within > 0 ? settings.ask_within : kResubscribe * 8;
+            set_timer(now + std::min(resubscribe * (0.5 + random.unit()), most), std::nullopt);
+            resubscribe = std::min(resubscribe * 2, kResubscribe * 8);
+            return;
+        }
+        if (list.kind != ListKind::saved) resubscribe = kResubscribe;
+        if (list.kind != ListKind::incremental)
+            for (auto& [id, s] : servers) s.listed = false;
+        for (const ServerInfo& info : list.servers) learn(info);
+        for (auto it = servers.begin(); it != servers.end();)
+            it = !it->second.listed && it->second.outstanding == 0 ? servers.erase(it) : std::next(it);
+        fleet.clear(), used.clear(), cold.clear(), ejected.clear();
+        for (auto& [id, s] : servers) {
+            if (s.in_use) used.push_back(&s);
+            if (s.standing == Standing::removed) ejected.insert(id);
+            if (!s.listed || s.info.phase != Phase::on) continue;
+            fleet.push_back(&s);
+            if (is_cold(s)) cold.push_back(&s);
+        }
+        surveyed_at = -kSurvey;
+        release_held();
+    }
+
+    void learn(const ServerInfo& info) {
+        const auto [it, fresh] = servers.try_emplace(info.id);
+        Server& s = it->second;
+        if (fresh || info.online_since > s.info.online_since) {
+            // An empty bucket, at a different depth for each sidecar: first tokens must not fall together.
+            s.tokens = -random.unit();
+            s.tokens_at = now;
+            s.standing = Standing::live;  // another process under the same name: its record starts anew
+            s.window.clear();
+            s.shunned_until.clear();
+        }
+        s.info = info;
+        s.listed = info.phase != Phase::off;
+    }
+
+    // ---- Verdict: window, backoff, trial ----------------------------------------------------------------
+
+    void judge(Server& s, const Request& r, const Attempt& a, Outcome outcome, bool late, bool silent) {
+        const bool success = outcome == Outcome::completed && !late;  // past its aim: as good as timed out
+        const bool verdict = outcome != Outcome::recalled && outcome != Outcome::superseded;
+        if (s.standing == Standing::trial && a.trial) {
+            if (verdict) return success ? restore(s) : remove(s);
+            s.standing = Standing::removed;  // undecided: the next request is the trial
+            ejected.insert(s.info.id);
+            return;
+        }
+        if (!verdict || s.standing != Standing::live) return;
+        if (outcome == Outcome::saturated || outcome == Outcome::refused_connection) s.in_use = false;
+        s.window.push_back({r.class_index, success});
+        if (s.window.size() > kWindow) s.window.pop_front();
+        // Where traffic is thin, or a server fails one class and serves the others, the class's part of the
+        // window is read as it stands: below the threshold, the class shuns the server for a backoff, as long
+        // as others will have it. Lateness and a full queue don't count: under a crowd they say nothing of
+        // one server.
+        if (success) s.shunned_until.erase(r.class_index);
+        const bool outright = outcome != Outcome::completed && outcome != Outcome::saturated &&
+                              (outcome != Outcome::overdue || silent);
+        const bool alone = fails_one_class(s, r.class_index);
+        if (outright && (alone || s.window.size() < kWindow) &&
+            s.share_of(r.class_index, true, 1) < kThreshold)
+            s.shunned_until[r.class_index] = now + kBackoff;
+        if (!success && below_threshold(s) && !alone && may_remove(s)) remove(s);
+    }
+
+    // The window's other classes are served: then the class shuns the server and the rest keep it.
+    static bool fails_one_class(const Server& s, std::uint32_t class_index) {
+        return s.share_of(class_index, false, kKindWorth) >= kThreshold;
+    }
+
+    // Shared slowness makes every server fail, and removing them all makes it an outage. So a server is held
+    // against the others: 0.9 of their success share, less three standard errors of a window of that share.
+    // While the others don't fail, this is 0.9. A window not yet full is judged as if the rest were
+    // successes: what is certain need not wait, least of all where traffic is thin.
+    bool below_threshold(const Server& s) const {
+        const double unfilled = static_cast<double>(kWindow - s.window.size());
+        const double share = (s.successes() + unfilled) / kWindow;
+        if (share >= kThreshold) return false;  // whatever the others do
+        const double level = level_without(s);
+        const double noise = std::sqrt(level * (1 - level) / static_cast<double>(kWindow));
+        return share < kThreshold * level - 3 * noise;
+    }
+
+    double level_without(const Server& s) const {
+        double good = 0, all = 0;
+        for (const auto& [id, other] : servers)
+            if (&other != &s && other.standing == Standing::live) {
+                good += other.successes();
+                all += static_cast<double>(other.window.size());
+            }
+        return all > 0 ? good / all : 1;
+    }
+
+    // Panic threshold: half of the listed servers stay in the pool, whatever their windows say; for each
+    // class, half of those open to it.
+    bool may_remove(const Server& one) const {
+        for (std::uint32_t c = 0; c < settings.classes.size(); ++c) {
+            if (!open_to(c, one.info)) continue;
+            std::size_t listed = 0, out = 0;
+            for (const auto& [id, s] : servers)
+                if (s.listed && open_to(c, s.info)) ++listed, out += s.standing != Standing::live;
+            if (2 * (out + 1) > listed) return false;
+        }
+        return true;
+    }
+
+    void remove(Server& s) {
+        if (s.standing == Standing::live) act(Log{"removed from the pool", s.info.id});
+        s.standing = Standing::removed;
+        s.in_use = false;
+        s.backoff_until = now + kBackoff;
+        ejected.insert(s.info.id);
+    }
+
+    void restore(Server& s) {
+        s.standing = Standing::live;
+        s.window.clear();
+        act(Log{"restored after a trial", s.info.id});
+    }
+
+    // ---- Pick -------------------------------------------------------------------------------------------
+
+    Server* due_trial(const Request& r) {
+        for (const ServerId id : ejected)
+            if (Server& s = servers.at(id); now >= s.backoff_until && may_send(r, s)) return &s;
+        return nullptr;
+    }
+
+    Server* pick(const Request& r, bool admitted) {
+        // Our part of the pool: two servers more than we have attempts out. Over more of them a light sidecar
+        // fills no window; one that is removed leaves its place to another.
+        std::vector<Server*> live, leave, again;
+        const auto offer = [&](Server& s) {
+            if (s.standing == Standing::live && (admitted || is_cold(s)) && may_send(r, s))
+                (r.tried(s.info.id) || shuns(r, s) ? again : better_left(r, s) ? leave : live).push_back(&s);
+        };
+        std::erase_if(used, [](const Server* s) { return !s->in_use; });
+        for (Server* s : used) offer(*s);
+        for (Server* s : cold)
+            if (!s->in_use && is_cold(*s)) offer(*s);
+        const double part = std::max<double>(mean_out, outstanding) + 2;
+        double least = kind_pace.empty() ? kLeastPace : 1;  // cost, of any kind
+        for (const auto& [kind, pace] : kind_pace) least = std::min(least, std::max(kLeastPace, pace.value));
+        const auto spare = [&](const Server* s) {
+            return !s->in_use && !is_cold(*s) && std::find(live.begin(), live.end(), s) == live.end();
+        };
+        for (int i = admitted && !fleet.empty() ? kDraws + static_cast<int>(part) : 0;
+             i > 0 && static_cast<double>(live.size()) < part; --i) {
+            Server* s = fleet[random.below(fleet.size())];
+            if (spare(s) && random.unit() * cost(*s) < least) offer(*s);
+        }
+        for (std::size_t i = 0; admitted && live.empty() && i < fleet.size(); ++i)
+            if (spare(fleet[i])) offer(*fleet[i]);
+        if (live.empty()) live.swap(leave);
+        if (live.empty()) live.swap(again);
+        if (live.empty()) return nullptr;
+        Server* const best = better_of_two(live);
+        if (leave.empty()) return best;
+        Server* const other = better_of_two(leave);
+        return std::max(kLeastPace, pace(*other)) < kLeave * pace(*best) ? other : best;
+    }
+
+    // A server that a class worth more is confined to is left to it by those that may go elsewhere.
+    bool better_left(const Request& r, const Server& s) const {
+        for (std::uint32_t c = 0; c < settings.classes.size(); ++c)
+            if (const RequestClass& k = settings.classes[c];
+                c != r.class_index && (k.zones || k.kinds) && k.worth > r.kind.worth && open_to(c, s.info))
+                return true;
+        return false;
+    }
+
+    // The mechanism's pick: of two at random the one with fewer of our requests outstanding.
+    Server* better_of_two(std::vector<Server*>& live) {
+        std::swap(live[draw(live)], live.back());
+        Server* const first = live.back();
+        live.pop_back();
+        if (live.empty()) return first;
+        Server* const second = live[draw(live)];
+        const bool other = second->outstanding < first->outstanding ||
+                           (second->outstanding == first->outstanding && cost(*second) < cost(*first));
+        return other ? second : first;
+    }
+
+    bool shuns(const Request& r, const Server& s) const {
+        const auto at = s.shunned_until.find(r.class_index);
+        return at != s.shunned_until.end() && now < at->second;
+    }
+
+    // What a send there costs: the time of answers against the aim, and what is paid for crossing zones.
+    double cost(const Server& s) {
+        const bool far = settings.my_zone && s.info.zone != *settings.my_zone;
+        return std::max(kLeastPace, pace(s)) + (far ? settings.fees.cross_zone : 0);
+    }
+
+    // What answers of a server take against their aim: its own of late, as far as there are any, else those
+    // of its kind in its zone, else of its kind. A light sidecar meets a server too seldom to know it, but
+    // knows its kind, and a crowded zone from a free one.
+    double pace(const Server& s) {
+        const double n = s.carried.at_time(now, kRateMemory);
+        const auto place = place_pace.find({s.info.zone, s.info.kind});
+        const double kind = place != place_pace.end() ? place->second.value : kind_pace[s.info.kind].value;
+        return kind + (s.pace.value - kind) * n / (n + kKindWorth);
+    }
+
+    // One of them at random, by quickness: with each kind's share of the work as the inverse of the
+    // time its answers take, fast and slow machines end up equally busy.
+    std::size_t draw(const std::vector<Server*>& from) {
+        const std::size_t n = from.size();
+        double sum = 0;
+        for (std::size_t i = 0; i < n; ++i) sum += quickness(*from[i]);
+        double at = random.unit() * sum;
+        for (std::size_t i = 0; i + 1 < n; ++i)
+            if ((at -= quickness(*from[i])) < 0) return i;
+        return n - 1;
+    }
+    double quickness(const Server& s) { return 1 / cost(s); }
+
+    // ---- Admission --------------------------------------------------------------------------------------
+
+    // Little's law: a bound on what is out bounds the time it takes. It follows how long answers take against
+    // their aim; errors say nothing of crowding, and it only grows while it is used.
+    void adapt_room(Server& s, const Request& r, const AttemptEnded& e, bool silent) {
+        double ratio = 1.5;
+        if (e.outcome == Outcome::completed)
+            ratio = std::min(1.5, e.duration / r.kind.aim);
+        else if ((e.outcome != Outcome::overdue || silent) && e.outcome != Outcome::saturated)
+            return;
+        s.pace.add(ratio, now, kSamples, kRateMemory);
+        for (Mean* pooled : {&kind_pace[s.info.kind], &place_pace[{s.info.zone, s.info.kind}]})
+            pooled->add(ratio, now, 5 * kSamples, 4 * kRateMemory);
+        if (is_cold(s)) return;  // slow by nature: it says nothing of the pool
+        const Millis since = std::min(now - crowding.at, 1000.0);
+        crowding.add(ratio, now, kSamples, kRateMemory);
+        const double pull = std::exp(kRoomGain * (kAimShare - crowding.value) * since);
+        if (pull < 1)
+            room = std::max(room_floor(), std::min(room, std::max<double>(mean_out, outstanding) + 1) * pull);
+        else if (outstanding + 1 > room / 2)
+            room = std::min(kRoomAtStart, room * pull);
+    }
+
+    // Where slow service alone takes that long, refusing more only idles the servers: one attempt for each
+    // warm live server is always allowed, and with many sidecars our part of kFloor.
+    double room_floor() {
+        survey();
+        // Nor do equal floors starve the busy among them: each keeps a part of its own demand.
+        const double asked = kLeast * kAimShare * wanted.at_time(now, kRateMemory) / kRateMemory;
+        return std::max(asked, our_part() * std::max(1.0, warm_live));
+    }
+    double our_part() const { return std::min(1.0, kFloor / std::max(1u, settings.siblings)); }
+
+    // Worth: the class worth most may fill the room, the others leave it part of theirs. A part of less than
+    // one attempt, in a fleet of light sidecars, bounds the mean over time.
+    bool has_room(const Request& r) const {
+        const double worth = r.repeat ? 0 : r.kind.worth / top_worth;
+        const double part =
+            room * (kCommonRoom + (1 - kCommonRoom) * worth) * (r.excess ? settings.over_share_worth : 1);
+        return outstanding < part && (part >= 1 || mean_out < 2 * part);
+    }
+
+    // Fairness. A tenant that asks for more than its share of what reaches us (a burst, or clients that
+    // repeat at once whatever they are told, often unmarked) has that much of its requests counted as excess:
+    // in a crowd they find room for what they are worth, so they starve nobody else. Without a crowd nothing
+    // changes.
+    bool over_share(std::uint32_t tenant) {
+        if (tenant >= settings.tenant_shares.size()) return false;
+        asked.resize(settings.tenant_shares.size());
+        asked[tenant].add(1, now, kMixMemory);
+        asked_by_all.add(1, now, kMixMemory);
+        const double share = settings.tenant_shares[tenant];
+        const double seen = (asked[tenant].value + kMixPrior * share) / (asked_by_all.value + kMixPrior);
+        return random.unit() * seen > share;
+    }
+
+    // Called before outstanding changes; place() calls it for dispatch() and for whoever uses the mean.
+    void count_out() {
+        mean_out = outstanding + (mean_out - outstanding) * fade(mean_at, now, kRateMemory);
+        mean_at = now;
+    }
+
+    // What is worth most goes first, then what came last: under a crowd the oldest has least use left.
+    void release_held() {
+        if (held.empty() || outstanding >= room) return;
+        std::vector<RequestId> waiting;
+        waiting.swap(held);
+        std::erase_if(waiting, [&](RequestId id) {
+            const auto it = requests.find(id);
+            return it == requests.end() || it->second.ended || it->second.any_out();
+        });
+        std::sort(waiting.begin(), waiting.end(), [&](RequestId a, RequestId b) {
+            const Request &l = requests.at(a), &r = requests.at(b);
+            return l.kind.worth != r.kind.worth ? l.kind.worth > r.kind.worth : l.order > r.order;
+        });
+        for (const RequestId id : waiting) place(requests.at(id));
+    }
+
+    // ---- A request --------------------------------------------------------------------------------------
+
+    void on(const RequestArrived& e) {
+        const auto [it, fresh] = requests.try_emplace(e.id);
+        if (!fresh) return;
+        Request& r = it->second;
+        r.id = e.id;
+        r.class_index = e.class_index;
+        r.repeat = e.repeat;
+        r.order = next_order++;
+        if (e.class_index < settings.classes.size()) {
+            r.kind = settings.classes[e.class_index];
+        } else {  // unknown: what we know least about is handled with most care
+            r.kind.effect = Effect::once;
+            r.kind.aim = std::max(1.0, e.time_left);
+        }
+        r.excess = over_share(e.tenant);
+        r.kind.aim += r.kind.aim_stretch * std::max(0.0, e.effort);
+        if (!r.repeat) wanted.add(r.kind.aim, now, kRateMemory);
+        r.deadline = now + std::max(0.0, e.time_left);
+        retry_budget = std::min(retry_budget + kRetryShare, kRetryBurst);
+        r.hold_until = std::min(r.deadline, now + r.kind.aim * kHold);
+        set_timer(r.deadline, r.id);
+        place(r);
+    }
+
+    // Shed what can't be answered any more: clients that wait for less than an answer takes only fill servers
+    // with work that serves nobody.
+    bool hopeless(const Request& r) const {
+        const auto at = took.find(r.class_index);
+        return at != took.end() && now + kHopeless * at->second.value > r.deadline;
+    }
+
+    void place(Request& r) {
+        count_out();
+        if (hopeless(r) && !r.any_out()) return finish(r);
+        const bool admitted = has_room(r);
+        if (Server* s = admitted ? due_trial(r) : nullptr) return dispatch(r, *s);
+        if (Server* s = pick(r, admitted)) return dispatch(r, *s);
+        // Nobody may have it now. If one may later, hold it: at hold_until the timer answers.
+        if (r.any_out()) return;
+        if (now >= r.hold_until || r.attempts.size() >= settings.max_attempts ||
+            (r.first_possible_run() && r.kind.effect == Effect::once))
+            return finish(r);
+        held.push_back(r.id);
+        if (r.waiting) return;
+        r.waiting = true;
+        set_timer(r.hold_until, r.id);
+    }
+
+    void dispatch(Request& r, Server& s) {
+        const bool trial = s.standing == Standing::removed, cold = is_cold(s);
+        if (trial) s.standing = Standing::trial, ejected.erase(s.info.id);
+        if (cold) s.tokens -= 1;
+        if (!r.attempts.empty()) retry_budget -= 1;
+        ++s.outstanding;
+        if (!s.in_use) used.push_back(&s);
+        s.in_use = true;
+        outstanding += !cold;
+        r.attempts.push_back({s.info, now, true, true, trial, cold});
+        act(Send{r.id, s.info.id, r.deadline});
+    }
+
+    void on(const FirstByte& e) {
+        const auto it = requests.find(e.id);
+        if (it != requests.end() && e.attempt < it->second.attempts.size()) it->second.streaming = true;
+    }
+
+    void book(Server& s, const Request& r, const Attempt& a, const AttemptEnded& e) {
+        --s.outstanding;
+        // Silence: it ran out of time and nothing has come from the server since it was sent. That is a dead
+        // server or a lost path, not crowding, unless most attempts end so: then it is shared slowness.
+        const bool overdue = e.outcome == Outcome::overdue;
+        answered.add(overdue ? 0.0 : 1.0, now, kSamples, kRateMemory);
+        const bool silent = overdue && s.answered_at < a.sent_at && answered.value > 0.5;
+        if (e.outcome == Outcome::completed || e.outcome == Outcome::errored ||
+            e.outcome == Outcome::saturated)
+            s.answered_at = now;
+        adapt_room(s, r, e, silent);
+        if (e.outcome == Outcome::completed) {
+            s.carried.add(1, now, kRateMemory);
+            took[r.class_index].add(e.duration, now, kSamples, kMixMemory);
+        }
+        judge(s, r, a, e.outcome, e.duration > r.kind.aim && !is_cold(s), silent);
+    }
+
+    void on(const AttemptEnded& e) {
+        const auto it = requests.find(e.id);
+        if (it == requests.end() || e.attempt >= it->second.attempts.size()) return;
+        Request& r = it->second;
+        Attempt& a = r.attempts[e.attempt];
+        if (!a.out) return;
+        a.out = false;
+        count_out();
+        outstanding -= !a.cold;
+        a.may_have_run = !proves_never_ran(e.outcome);
+        if (const auto at = servers.find(a.to.id); at != servers.end()) {
+            book(at->second, r, a, e);
+            if (!at->second.listed && at->second.outstanding == 0) {
+                std::erase(used, &at->second);
+                ejected.erase(at->first);
+                servers.erase(at);
+            }
+        }
+        if (e.request_ended) r.ended = true;
+        if (r.ended) done.push_back(r.id);
+        // Without a retry budget each request asks a crowded pool as often as the limits allow.
+        if (now >= r.deadline || (!r.any_out() && retry_budget < 1))
+            finish(r);
+        else if (!r.ended && !r.any_out())
+            place(r);
+        release_held();
+    }
+
+    void on(const ClientGone& e) {
+        const auto it = requests.find(e.id);
+        if (it == requests.end()) return;
+        cancel_all(it->second);
+        it->second.ended = true;
+        done.push_back(e.id);
+    }
+
+    // The only final answer: a refusal where that is true, else a failure.
+    void finish(Request& r) {
+        if (r.ended || r.streaming) return;
+        cancel_all(r);
+        act(may_refuse(r) ? Action(Refuse{r.id, 0}) : Action(GiveUp{r.id}));
+        r.ended = true;
+        done.push_back(r.id);
+    }
+
+    void cancel_all(const Request& r) {
+        for (std::uint32_t i = 0; settings.may_cancel && i < r.attempts.size(); ++i)
+            if (r.attempts[i].out) act(Cancel{r.id, i});
+    }
+
+    // After each event: what has its answer and nothing out leaves no trace.
+    void forget_done() {
+        for (const RequestId id : done) {
+            const auto it = requests.find(id);
+            if (it != requests.end() && it->second.ended && !it->second.any_out()) requests.erase(it);
+        }
+        done.clear();
+    }
+
+    // ---- Timers and the rest ----------------------------------------------------------------------------
+
+    void set_timer(Millis at, std::optional<RequestId> request) {
+        timers[next_token] = request;
+        act(SetTimer{at, next_token++});
+    }
+
+    void on(const TimerFired& e) {
+        const auto timer = timers.find(e.token);
+        if (timer == timers.end()) return;
+        const std::optional<RequestId> id = timer->second;
+        timers.erase(timer);
+        if (!id) return act(Subscribe{true});
+        const auto it = requests.find(*id);
+        if (it == requests.end() || it->second.ended) return;
+        if (now >= it->second.deadline)
+            finish(it->second);
+        else if (!it->second.any_out())
+            place(it->second);
+    }
+
+    template <class Other>
+    void on(const Other&) {}  // probes and peers: not used
+};
+
+Balancer::Balancer(Settings settings, std::uint64_t seed)
+    : impl_(std::make_unique<Impl>(std::move(settings), seed)) {}
+Balancer::~Balancer() = default;
+Balancer::Balancer(Balancer&&) noexcept = default;
+Balancer& Balancer::operator=(Balancer&&) noexcept = default;
+
+void Balancer::handle(Millis now, const Event& event, std::vector<Action>& actions) {
+    impl_->now = std::max(impl_->now, now);
+    impl_->actions = &actions;
+    std::visit([this](const auto& e) { impl_->on(e); }, event);
+    impl_->forget_done();
+}
+
+Balancer::Held Balancer::held() const {
+    return {impl_->requests.size(), impl_->servers.size(), impl_->timers.size()};
+}
+
+}  // namespace kestrelhall
--- /dev/null
+++ b/src/support.hpp
@@ -0,0 +1,56 @@
+// What the decisions in balance.cpp calculate with. Nothing here decides anything.
+#pragma once
+
+#include <algorithm>
+#include <cmath>
+#include <cstdint>
+
+#include "kestrelhall/balancer.hpp"
+
+namespace kestrelhall {
+
+// Throws std::invalid_argument naming the setting that makes no sense.
+void validate(const Settings& settings);
+
+// What is left at now of a weight of 1 at since, for a memory of that length.
+inline double fade(Millis since, Millis now, Millis memory) { return std::exp((since - now) / memory); }
+
+// A running mean of about the last `samples`; where they are rare, of the last `memory`.
+struct Mean {
+    double value = 0;
+    Millis at = -1e9;
+    void add(double sample, Millis now, double samples, Millis memory) {
+        value += (sample - value) * std::max(1 / samples, 1 - fade(at, now, memory));
+        at = now;
+    }
+};
+
+// A sum that fades: each amount added loses its weight over `memory`.
+struct Tally {
+    double value = 0;
+    Millis at = 0;
+    double at_time(Millis now, Millis memory) const { return value * fade(at, now, memory); }
+    void add(double amount, Millis now, Millis memory) {
+        value = at_time(now, memory) + amount;
+        at = now;
+    }
+};
+
+// SplitMix64: the same numbers with every standard library.
+class Random {
+public:
+    explicit Random(std::uint64_t seed) : state_(seed) {}
+    double unit() { return static_cast<double>(next() >> 11) * 0x1.0p-53; }
+    std::size_t below(std::size_t n) { return static_cast<std::size_t>(unit() * static_cast<double>(n)); }
+
+private:
+    std::uint64_t next() {
+        std::uint64_t z = (state_ += 0x9e3779b97f4a7c15);
+        z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9;
+        z = (z ^ (z >> 27)) * 0x94d049bb133111eb;
+        return z ^ (z >> 31);
+    }
+    std::uint64_t state_;
+};
+
+}  // namespace kestrelhall
--- /dev/null
+++ b/src/wire.cpp
@@ -0,0 +1,516 @@
+#include "wire.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+#include <istream>
+#include <ostream>
+
+namespace kestrelhall::wire {
+
+namespace {
+
+template <class T>
+bool parse(std::string_view text, T& value) {
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    return error == std::errc() && end == text.data() + text.size();
+}
+
+template <class T>
+using Names = std::vector<std::pair<std::string_view, T>>;
+
+template <class T>
+T named(const Message& message, std::string_view field, const Names<T>& names) {
+    const std::string_view text = message.text(field);
+    for (const auto& [name, value] : names)
+        if (name == text) return value;
+    message.fail(field, "is not a known word");
+}
+
+const Names<Phase> phases{{"on", Phase::on}, {"fading", Phase::fading}, {"off", Phase::off}};
+const Names<ListKind> list_kinds{{"INCREMENTAL", ListKind::incremental},
+                                 {"FULL", ListKind::full},
+                                 {"SAVED", ListKind::saved},
+                                 {"FAILED", ListKind::failed}};
+const Names<Effect> effects{
+    {"repeatable", Effect::repeatable}, {"by_key", Effect::by_key}, {"once", Effect::once}};
+const Names<DedupScope> scopes{
+    {"all", DedupScope::all}, {"zone", DedupScope::zone}, {"cell", DedupScope::cell}};
+const Names<Outcome> outcomes{{"completed", Outcome::completed},
+                              {"errored", Outcome::errored},
+                              {"saturated", Outcome::saturated},
+                              {"overdue", Outcome::overdue},
+                              {"refused_conn", Outcome::refused_connection},
+                              {"severed", Outcome::severed},
+                              {"recalled", Outcome::recalled},
+                              {"superseded", Outcome::superseded}};
+
+std::vector<std::string> split(std::string_view list) {
+    std::vector<std::string> items;
+    while (!list.empty()) {
+        const auto comma = list.find(',');
+        items.emplace_back(list.substr(0, comma));
+        list = comma == std::string_view::npos ? std::string_view() : list.substr(comma + 1);
+    }
+    return items;
+}
+
+std::uint32_t number_of(std::vector<std::string>& names, std::string_view name) {
+    const auto at = std::find(names.begin(), names.end(), name);
+    const auto id = static_cast<std::uint32_t>(at - names.begin());
+    if (at == names.end()) names.emplace_back(name);
+    return id;
+}
+
+void add_number(std::string& line, double value) {
+    char buffer[40];
+    const auto end = std::to_chars(buffer, buffer + sizeof buffer, value, std::chars_format::fixed, 3).ptr;
+    line.append(buffer, end);
+}
+
+void add_hex(std::string& line, const std::vector<std::uint8_t>& bytes) {
+    if (bytes.empty()) line += '-';
+    for (const std::uint8_t byte : bytes) {
+        line += "0123456789abcdef"[byte >> 4];
+        line += "0123456789abcdef"[byte & 15];
+    }
+}
+
+template <class... Ts>
+struct Overloaded : Ts... {
+    using Ts::operator()...;
+};
+template <class... Ts>
+Overloaded(Ts...) -> Overloaded<Ts...>;
+
+}  // namespace
+
+// ---- Codec ----------------------------------------------------------------------------------------------
+
+Message::Message(std::string_view line, std::size_t number) : line_(number) {
+    if (!line.empty() && line.back() == '\r') line.remove_suffix(1);
+    const auto space = line.find(' ');
+    kind_ = line.substr(0, space);
+    if (kind_.empty()) throw WireError("line " + std::to_string(line_) + ": empty line");
+    std::string_view rest = space == std::string_view::npos ? std::string_view() : line.substr(space + 1);
+    while (!rest.empty()) {
+        const auto gap = rest.find(' ');
+        const std::string_view pair = rest.substr(0, gap);
+        rest = gap == std::string_view::npos ? std::string_view() : rest.substr(gap + 1);
+        const auto equals = pair.find('=');
+        if (equals == std::string_view::npos || equals == 0) fail(pair, "is not name=value");
+        fields_.emplace_back(pair.substr(0, equals), pair.substr(equals + 1));
+    }
+}
+
+void Message::fail(std::string_view field, std::string_view what) const {
+    throw WireError("line " + std::to_string(line_) + ": " + std::string(kind_) + ": field '" +
+                    std::string(field) + "' " + std::string(what));
+}
+
+const std::string_view* Message::find(std::string_view field) const {
+    for (const auto& [name, value] : fields_)
+        if (name == field) return &value;
+    return nullptr;
+}
+
+std::string_view Message::text(std::string_view field) const {
+    const auto* value = find(field);
+    if (!value) fail(field, "is missing");
+    return *value;
+}
+
+double Message::number(std::string_view field) const {
+    double value = 0;
+    if (!parse(text(field), value) || !std::isfinite(value)) fail(field, "is not a number");
+    return value;
+}
+
+double Message::number_or(std::string_view field, double fallback) const {
+    return has(field) ? number(field) : fallback;
+}
+
+std::uint64_t Message::integer(std::string_view field) const {
+    std::uint64_t value = 0;
+    if (!parse(text(field), value)) fail(field, "is not a whole number");
+    return value;
+}
+
+std::uint64_t Message::integer_or(std::string_view field, std::uint64_t fallback) const {
+    return has(field) ? integer(field) : fallback;
+}
+
+bool Message::flag_or(std::string_view field, bool fallback) const {
+    if (!has(field)) return fallback;
+    const std::string_view value = text(field);
+    if (value == "1" || value == "true") return true;
+    if (value == "0" || value == "false") return false;
+    fail(field, "is not a truth value");
+}
+
+ZoneId Site::zone(std::string_view name) { return number_of(zones, name); }
+KindId Site::kind(std::string_view name) { return number_of(kinds, name); }
+
+Site read_site(const Message& start) {
+    Site site;
+    Settings& s = site.settings;
+    if (start.has("azs")) site.zones = split(start.text("azs"));
+    if (start.has("my-zone")) s.my_zone = site.zone(start.text("my-zone"));
+    for (std::uint64_t i = 0, count = start.integer("classes.count"); i < count; ++i) {
+        const std::string prefix = "classes." + std::to_string(i) + ".";
+        RequestClass c;
+        c.effect = named(start, prefix + "effect", effects);
+        if (start.has(prefix + "dedup-scope")) c.dedup_scope = named(start, prefix + "dedup-scope", scopes);
+        c.dedup_window = start.number_or(prefix + "dedup-window-ms", c.dedup_window);
+        c.aim = start.number(prefix + "on-time-ms");
+        c.aim_stretch = start.number_or(prefix + "aim-stretch", c.aim_stretch);
+        c.worth = start.number_or(prefix + "credit", c.worth);
+        const auto only = [&](const std::string& field, auto number) {
+            std::optional<std::vector<std::uint32_t>> numbers;
+            if (!start.has(field)) return numbers;
+            numbers.emplace();
+            for (const auto& name : split(start.text(field))) numbers->push_back((site.*number)(name));
+            return numbers;
+        };
+        c.zones = only(prefix + "confined-to", &Site::zone);
+        c.kinds = only(prefix + "models-allowed", &Site::kind);
+        s.classes.push_back(std::move(c));
+        site.classes.emplace_back(start.text(prefix + "name"));
+    }
+    for (std::uint64_t i = 0, count = start.integer_or("tenants.count", 0); i < count; ++i) {
+        const std::string prefix = "tenants." + std::to_string(i) + ".";
+        s.tenant_shares.push_back(start.number(prefix + "share"));
+        site.tenants.emplace_back(start.text(prefix + "name"));
+    }
+    s.over_share_worth = start.number_or("over-share-worth", s.over_share_worth);
+    if (start.has("membership-mode")) s.list_on_request = start.text("membership-mode") == "on_request";
+    s.ask_within = start.number_or("rules.ask-within-ms", s.ask_within);
+    s.siblings = static_cast<std::uint32_t>(start.integer_or("siblings", s.siblings));
+    s.max_attempts = static_cast<std::uint32_t>(start.integer_or("limits.max-attempts", s.max_attempts));
+    s.parallel_tries = start.flag_or("limits.parallel-tries", s.parallel_tries);
+    s.may_cancel = start.flag_or("limits.may-cancel", false);
+    s.cold_from = start.number_or("rules.cold-from", s.cold_from);
+    s.fall_multiple = start.number_or("rules.fall-multiple", s.fall_multiple);
+    s.saturated_is_no_proof = start.flag_or("rules.busy-is-no-proof", s.saturated_is_no_proof);
+    s.warm_within = start.number_or("rules.warm-within-ms", s.warm_within);
+    s.fees.cross_zone = start.number_or("fees.cross-zone", s.fees.cross_zone);
+    return site;
+}
+
+Outcome read_outcome(const Message& message) { return named(message, "rc", outcomes); }
+
+std::vector<std::uint8_t> read_bytes(const Message& message, std::string_view field) {
+    std::vector<std::uint8_t> bytes;
+    const std::string_view hex = message.text(field);
+    if (hex == "-") return bytes;
+    if (hex.size() % 2) message.fail(field, "is not hex");
+    for (std::size_t i = 0; i < hex.size(); i += 2) {
+        std::uint8_t byte = 0;
+        const auto [end, error] = std::from_chars(hex.data() + i, hex.data() + i + 2, byte, 16);
+        if (error != std::errc() || end != hex.data() + i + 2) message.fail(field, "is not hex");
+        bytes.push_back(byte);
+    }
+    return bytes;
+}
+
+// ---- Host -----------------------------------------------------------------------------------------------
+
+// One sidecar: its balancer and the names behind the integers the balancer sees. A request's name is kept
+// until it has ended and its attempts have; a server's while it is listed or an attempt on it is out.
+struct Host::Instance {
+    struct Request {
+        std::string name;
+        std::uint32_t out = 0;
+        bool ended = false;
+    };
+    struct Server {
+        std::string name;
+        std::uint32_t out = 0;
+        bool listed = false;
+    };
+
+    Instance(std::string name_, Site site_, std::uint64_t seed)
+        : name(std::move(name_)), site(std::move(site_)), balancer(site.settings, seed) {}
+
+    ServerId server(const std::string& server_name) {
+        const auto [at, fresh] = server_ids.try_emplace(server_name, next_server);
+        if (fresh) servers[next_server++].name = server_name;
+        return at->second;
+    }
+
+    void drop_request(RequestId id) {
+        const auto at = requests.find(id);
+        if (at == requests.end() || !at->second.ended || at->second.out > 0) return;
+        request_ids.erase(at->second.name);
+        requests.erase(at);
+    }
+    void end_request(RequestId id) {
+        if (const auto at = requests.find(id); at != requests.end()) at->second.ended = true;
+        drop_request(id);
+    }
+    void drop_server(ServerId id) {
+        const auto at = servers.find(id);
+        if (at == servers.end() || at->second.listed || at->second.out > 0) return;
+        server_ids.erase(at->second.name);
+        servers.erase(at);
+    }
+
+    std::string name;
+    Site site;
+    Balancer balancer;
+    std::unordered_map<std::string, RequestId> request_ids;
+    std::unordered_map<RequestId, Request> requests;
+    std::unordered_map<std::string, ServerId> server_ids;
+    std::map<ServerId, Server> servers;
+    RequestId next_request = 1;
+    ServerId next_server = 1;
+};
+
+Host::Host(std::istream& in, std::ostream& out, std::ostream& err) : in_(in), out_(out), err_(err) {}
+Host::~Host() = default;
+
+bool Host::next_line(std::string& line) {
+    if (!std::getline(in_, line)) return false;
+    ++line_;
+    return true;
+}
+
+int Host::run() {
+    try {
+        for (std::string line; next_line(line);) {
+            const Message mark(line, line_);
+            if (mark.kind() != "MARK") mark.fail(mark.kind(), "stands where MARK is due");
+            batch(mark);
+        }
+    } catch (const WireError& error) {
+        err_ << "kestrelhall_adapter: " << error.what() << '\n';
+        return 2;
+    }
+    return 0;
+}
+
+void Host::batch(const Message& mark) {
+    now_ = mark.number("now-ms");
+    const std::uint64_t frame = mark.integer("frame");
+    reply_.clear();
+    for (std::string line;;) {
+        if (!next_line(line))
+            throw WireError("line " + std::to_string(line_) + ": MARK: input ends before 'OVER_TO_YOU'");
+        const Message message(line, line_);
+        if (message.kind() == "OVER_TO_YOU") break;
+        event(message);
+    }
+    out_ << reply_ << "END frame=" << frame << '\n' << std::flush;
+}
+
+void Host::event(const Message& message) {
+    const std::string_view kind = message.kind();
+    if (kind == "CATALOG") return catalog(message);
+    if (kind == "START") return start(message);
+    static const std::vector<std::string_view> known{"POWER_OFF",     "PEERS_KNOWN", "ACCEPT",
+                                                     "HEAD_RECEIVED", "VERDICT",     "EXPIRED",
+                                                     "TICK_DUE",      "HEALTH",      "MEMO"};
+    if (std::find(known.begin(), known.end(), kind) == known.end()) {
+        if (std::find(unknown_kinds_.begin(), unknown_kinds_.end(), kind) == unknown_kinds_.end()) {
+            unknown_kinds_.emplace_back(kind);
+            err_ << "kestrelhall_adapter: line " << line_ << ": unknown event " << kind << " skipped\n";
+        }
+        return;
+    }
+    const auto at = instances_.find(message.text("who"));
+    if (at == instances_.end()) message.fail("who", "names an instance that is not running");
+    Instance& instance = at->second;
+    if (kind == "POWER_OFF") {
+        instances_.erase(at);
+    } else if (kind == "PEERS_KNOWN") {
+        list(instance, message);
+    } else if (kind == "ACCEPT") {
+        RequestArrived arrived;
+        arrived.time_left = message.number("time-left-ms");
+        arrived.effort = message.number_or("effort-ms", 0);
+        arrived.repeat = message.flag_or("repeat", false);
+        const auto& classes = instance.site.classes;
+        const auto grade = std::find(classes.begin(), classes.end(), message.text("grade"));
+        arrived.class_index = static_cast<std::uint32_t>(grade - classes.begin());
+        const auto& tenants = instance.site.tenants;
+        if (message.has("realm")) {
+            const auto realm = std::find(tenants.begin(), tenants.end(), message.text("realm"));
+            arrived.tenant = static_cast<std::uint32_t>(realm - tenants.begin());
+        }
+        const std::string rid(message.text("rid"));
+        const auto [known_id, fresh] = instance.request_ids.try_emplace(rid, instance.next_request);
+        if (!fresh) message.fail("rid", "was given before");
+        arrived.id = known_id->second;
+        instance.requests[instance.next_request++].name = rid;
+        give(instance, arrived);
+    } else if (kind == "HEAD_RECEIVED" || kind == "EXPIRED") {
+        const auto request = instance.request_ids.find(std::string(message.text("rid")));
+        const bool gone = kind == "EXPIRED";
+        const auto hop = gone ? 0 : static_cast<std::uint32_t>(message.integer("hop"));
+        if (request == instance.request_ids.end()) return;  // the instance has ended it meanwhile
+        const RequestId id = request->second;
+        give(instance, gone ? Event(ClientGone{id}) : Event(FirstByte{id, hop}));
+        if (gone) instance.end_request(id);
+    } else if (kind == "VERDICT") {
+        attempt_ended(instance, message);
+    } else if (kind == "TICK_DUE") {
+        give(instance, TimerFired{message.integer("nonce")});
+    } else if (kind == "HEALTH") {
+        const auto server = instance.server_ids.find(std::string(message.text("server")));
+        const ProbeEnded probed{server == instance.server_ids.end() ? 0 : server->second,
+                                read_outcome(message), message.number_or("duration-ms", 0)};
+        if (server != instance.server_ids.end()) give(instance, probed);
+    } else {
+        give(instance, PeerMessage{static_cast<std::uint32_t>(message.integer("src-peer")),
+                                   read_bytes(message, "msg")});
+    }
+}
+
+void Host::catalog(const Message& message) {
+    const std::uint64_t ref = message.integer("ref");
+    if (ref >= catalogs_.size()) message.fail("ref", "is out of range");
+    const std::uint64_t count = message.integer("items");
+    std::vector<CatalogEntry> entries;
+    for (std::uint64_t i = 0; i < count; ++i) {
+        std::string line;
+        if (!next_line(line))
+            throw WireError("line " + std::to_string(line_) + ": CATALOG: input ends within 'items'");
+        const Message entry(line, line_);
+        if (entry.kind() != "M") message.fail("items", "does not match the entries that follow");
+        CatalogEntry e;
+        e.server = entry.text("server");
+        if (entry.has("rack-zone")) e.zone = entry.text("rack-zone");
+        if (entry.has("kind")) e.kind = entry.text("kind");
+        e.cell = static_cast<std::uint32_t>(entry.integer_or("pod", 0));
+        e.phase = named(entry, "phase", phases);
+        e.online_since = entry.number_or("online-since-ms", 0);
+        entries.push_back(std::move(e));
+    }
+    catalogs_[ref] = std::move(entries);
+}
+
+void Host::start(const Message& message) {
+    const std::string name(message.text("who"));
+    const std::uint64_t seed = message.integer("entropy");
+    instances_.erase(name);
+    try {
+        const auto at = instances_.try_emplace(name, name, read_site(message), seed).first;
+        give(at->second, Started{});
+    } catch (const std::exception& error) {  // settings that can't be read or make no sense
+        reply_ += "FAULT who=" + name + " words=" + error.what() + "\n";
+    }
+}
+
+void Host::list(Instance& instance, const Message& message) {
+    ServerList list{named(message, "mode", list_kinds), {}};
+    if (list.kind != ListKind::failed) {
+        const std::uint64_t ref = message.integer("ref");
+        if (ref >= catalogs_.size()) message.fail("ref", "is out of range");
+        if (list.kind != ListKind::incremental)
+            for (auto& [id, server] : instance.servers) server.listed = false;
+        for (const CatalogEntry& e : catalogs_[ref]) {
+            const ServerId id = instance.server(e.server);
+            instance.servers[id].listed = e.phase != Phase::off;
+            list.servers.push_back({id, instance.site.zone(e.zone), e.cell, e.phase, e.online_since,
+                                    instance.site.kind(e.kind)});
+        }
+    }
+    give(instance, list);
+    if (list.kind == ListKind::failed) return;
+    std::vector<ServerId> ids;
+    for (const auto& [id, server] : instance.servers) ids.push_back(id);
+    for (const ServerId id : ids) instance.drop_server(id);
+}
+
+void Host::attempt_ended(Instance& instance, const Message& message) {
+    AttemptEnded ended;
+    ended.attempt = static_cast<std::uint32_t>(message.integer("hop"));
+    ended.outcome = read_outcome(message);
+    ended.duration = message.number_or("duration-ms", 0);
+    ended.request_ended = message.flag_or("terminal", false);
+    const auto server = instance.server_ids.find(std::string(message.text("server")));
+    const auto request = instance.request_ids.find(std::string(message.text("rid")));
+    if (request == instance.request_ids.end()) return;
+    ended.id = request->second;
+    Instance::Request& held = instance.requests.at(ended.id);
+    if (held.out > 0) --held.out;
+    if (ended.request_ended) held.ended = true;
+    give(instance, ended);
+    instance.drop_request(ended.id);
+    if (server == instance.server_ids.end()) return;
+    const ServerId id = server->second;
+    if (Instance::Server& s = instance.servers.at(id); s.out > 0) --s.out;
+    instance.drop_server(id);
+}
+
+void Host::give(Instance& instance, const Event& event) {
+    actions_.clear();
+    try {
+        instance.balancer.handle(now_, event, actions_);
+    } catch (const std::exception& error) {
+        reply_ += "FAULT who=" + instance.name + " words=" + error.what() + "\n";
+        return;
+    }
+    for (const Action& action : actions_) put(instance, action);
+}
+
+void Host::put(Instance& instance, const Action& action) {
+    const auto head = [&](std::string_view kind) { (reply_ += kind) += " who=" + instance.name; };
+    const auto request = [&](std::string_view kind, RequestId id) {
+        head(kind);
+        reply_ += " rid=" + instance.requests.at(id).name;
+    };
+    const auto server = [&](ServerId id) { reply_ += " server=" + instance.servers.at(id).name; };
+    const auto time = [&](std::string_view field, Millis value) {
+        (reply_ += field) += '=';
+        add_number(reply_, value);
+    };
+    std::visit(Overloaded{[&](const Send& a) {
+                              request("DISPATCH", a.id);
+                              server(a.server);
+                              time(" try-until-ms", a.try_until);
+                              ++instance.requests.at(a.id).out;
+                              ++instance.servers.at(a.server).out;
+                          },
+                          [&](const Cancel& a) {
+                              request("ABANDON", a.id);
+                              reply_ += " hop=" + std::to_string(a.attempt);
+                          },
+                          [&](const Refuse& a) {
+                              request("DECLINE", a.id);
+                              if (a.retry_in > 0) time(" retry-in-ms", a.retry_in);
+                              instance.end_request(a.id);
+                          },
+                          [&](const GiveUp& a) {
+                              request("GIVE_UP", a.id);
+                              instance.end_request(a.id);
+                          },
+                          [&](const SetTimer& a) {
+                              head("AFTER");
+                              time(" at-ms", a.at);
+                              reply_ += " nonce=" + std::to_string(a.token);
+                          },
+                          [&](const Probe& a) { head("ASK_LOAD"), server(a.server); },
+                          [&](const CloseIdle& a) { head("SHUT_IDLE"), server(a.server); },
+                          [&](const TellPeer& a) {
+                              head("WRITE_PEER");
+                              reply_ +=
+                                  " dst=" + (a.to ? std::to_string(*a.to) : std::string("all")) + " msg=";
+                              add_hex(reply_, a.bytes);
+                          },
+                          [&](const Subscribe& a) {
+                              head("SUBSCRIBE");
+                              reply_ += a.active ? " active=1" : " active=0";
+                          },
+                          [&](const FetchList&) { head("READ_LIST"); },
+                          [&](const Log& a) {
+                              head("PRINT");
+                              reply_ += " words=";
+                              if (a.server) reply_ += instance.servers.at(*a.server).name + " ";
+                              for (const char c : a.text) reply_ += c == '\n' || c == '\r' ? ' ' : c;
+                          }},
+               action);
+    reply_ += '\n';
+}
+
+}  // namespace kestrelhall::wire
