--- /dev/null
+++ b/src/main.cpp
@@ -0,0 +1,40 @@
+// One real sidecar, told by the configuration that LB_CONFIG names.
+#include <boost/asio/signal_set.hpp>
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+#include <string>
+
+#include "net/config.hpp"
+#include "net/sidecar.hpp"
+
+namespace {
+
+kestrelhall::net::Config configuration() {
+    const char* const path = std::getenv("LB_CONFIG");
+    if (!path) throw kestrelhall::net::ConfigError("'LB_CONFIG' is not set");
+    std::ifstream file(path, std::ios::binary);
+    if (!file)
+        throw kestrelhall::net::ConfigError("'LB_CONFIG' names a file that can't be read: " +
+                                            std::string(path));
+    return kestrelhall::net::read_config(std::string(std::istreambuf_iterator<char>(file), {}));
+}
+
+}  // namespace
+
+int main() {
+    try {
+        boost::asio::io_context io(1);
+        kestrelhall::net::Sidecar sidecar(io, configuration());
+        boost::asio::signal_set signals(io, SIGTERM, SIGINT);
+        signals.async_wait([&](boost::system::error_code failed, int) {
+            if (!failed) sidecar.drain([&] { io.stop(); });
+        });
+        io.run();
+    } catch (const std::exception& error) {
+        std::cerr << "whinledge: " << error.what() << '\n';
+        return 1;
+    }
+    return 0;
+}
--- /dev/null
+++ b/src/net/config.cpp
@@ -0,0 +1,157 @@
+#include "net/config.hpp"
+
+#include <map>
+#include <nlohmann/json.hpp>
+
+namespace kestrelhall::net {
+
+namespace {
+
+using Json = nlohmann::json;
+
+[[noreturn]] void fail(const std::string& key, const std::string& what) {
+    throw ConfigError("'" + key + "' " + what);
+}
+
+Json read_object(std::string_view text) {
+    Json json = Json::parse(text, nullptr, false);
+    if (!json.is_object()) throw ConfigError("no JSON object");
+    return json;
+}
+
+const Json& member(const Json& object, const char* key) {
+    const auto at = object.find(key);
+    if (at == object.end() || at->is_null()) fail(key, "is missing");
+    return *at;
+}
+
+template <class T>
+T value(const Json& json, const std::string& key) {
+    try {
+        return json.get<T>();
+    } catch (const Json::exception&) {
+        fail(key, "has the wrong type");
+    }
+}
+template <class T>
+T get(const Json& object, const char* key) {
+    return value<T>(member(object, key), key);
+}
+template <class T>
+T get_or(const Json& object, const char* key, T fallback) {
+    return object.contains(key) && !object[key].is_null() ? get<T>(object, key) : fallback;
+}
+
+template <class Protocol>
+typename Protocol::endpoint endpoint(const std::string& text, const std::string& key) {
+    const auto colon = text.rfind(':');
+    boost::system::error_code error;
+    const auto address = boost::asio::ip::make_address(text.substr(0, colon), error);
+    std::uint16_t port = 0;
+    if (colon == std::string::npos || error || !parse(std::string_view(text).substr(colon + 1), port))
+        fail(key, "is not ADDRESS:PORT");
+    return {address, port};
+}
+template <class Protocol>
+typename Protocol::endpoint get_endpoint(const Json& object, const char* key) {
+    return endpoint<Protocol>(get<std::string>(object, key), key);
+}
+
+// The settings' nested JSON by the paths that the simulator's wire uses for them.
+class JsonFields : public Fields {
+public:
+    explicit JsonFields(const Json& settings) { add(settings, ""); }
+    std::optional<std::string_view> find(std::string_view field) const override {
+        const auto at = values_.find(field);
+        return at == values_.end() ? std::nullopt : std::optional<std::string_view>(at->second);
+    }
+    std::string place() const override { return "settings"; }
+
+private:
+    static std::string scalar(const Json& json) {
+        return json.is_string() ? json.get<std::string>() : json.dump();
+    }
+    void add(const Json& json, const std::string& path) {
+        const std::string prefix = path.empty() ? "" : path + ".";
+        if (json.is_object()) {
+            for (const auto& [key, item] : json.items()) add(item, prefix + key);
+        } else if (json.is_array() && !json.empty() && json.front().is_object()) {
+            values_[prefix + "count"] = std::to_string(json.size());
+            for (std::size_t i = 0; i < json.size(); ++i) add(json[i], prefix + std::to_string(i));
+        } else if (json.is_array()) {
+            std::string& list = values_[path];
+            for (const Json& item : json) (list += list.empty() ? "" : ",") += scalar(item);
+        } else if (!json.is_null()) {
+            values_[path] = scalar(json);
+        }
+    }
+    std::map<std::string, std::string, std::less<>> values_;
+};
+
+MemberList members(const Json& json) {
+    MemberList list;
+    list.version = get<std::uint64_t>(json, "version");
+    list.full = get<bool>(json, "full");
+    const Json& servers = member(json, "servers");
+    if (!servers.is_array()) fail("servers", "has the wrong type");
+    for (const Json& entry : servers) {
+        if (!entry.is_object()) fail("servers", "has the wrong type");
+        Member m;
+        m.id = get<std::string>(entry, "id");
+        // A word not known is handled as the careful one of those that are: nothing new goes there.
+        const auto state = get<std::string>(entry, "state");
+        m.phase = state == "Ready" ? Phase::on : state == "Gone" ? Phase::off : Phase::fading;
+        if (m.phase != Phase::off || entry.contains("addr")) m.address = get_endpoint<Tcp>(entry, "addr");
+        m.zone = get_or<std::string>(entry, "zone", "");
+        m.kind = get_or<std::string>(entry, "kind", "");
+        m.cell = get_or<std::uint32_t>(entry, "cell", 0);
+        m.started = get_or<Millis>(entry, "started_ms", 0);
+        list.members.push_back(std::move(m));
+    }
+    return list;
+}
+
+std::uint64_t read_seed(const std::string& hex) {
+    std::uint64_t seed = 0;
+    if (!parse(hex, seed, 16)) fail("seed", "is not a hexadecimal number");
+    return seed;
+}
+
+void read_settings(Config& config, const Json& json) {
+    const JsonFields fields(json);
+    try {
+        config.site = read_site(fields);
+        config.connect_timeout = fields.number_or("limits.connect-timeout-ms", config.connect_timeout);
+        config.idle_close = fields.number_or("limits.idle-close-ms", config.idle_close);
+        config.may_probe = fields.flag_or("limits.may-probe", false);
+        config.may_tell = fields.flag_or("limits.may-tell", false);
+    } catch (const FieldError& error) {
+        throw ConfigError(error.what());
+    }
+}
+
+}  // namespace
+
+Config read_config(std::string_view text) {
+    const Json json = read_object(text);
+    Config config;
+    config.name = get<std::string>(json, "name");
+    config.listen = get_endpoint<Tcp>(json, "listen");
+    config.discovery = get_endpoint<Tcp>(json, "discovery");
+    config.seed = read_seed(get<std::string>(json, "seed"));
+    if (const Json limits = get_or<Json>(json, "limits", Json::object()); limits.is_object())
+        config.sockets = get_or<std::size_t>(limits, "sockets", config.sockets);
+    if (json.contains("peer_listen")) config.peer_listen = get_endpoint<Udp>(json, "peer_listen");
+    if (json.contains("peers_all")) config.peers_all = get_endpoint<Udp>(json, "peers_all");
+    for (const std::string& peer : get_or<std::vector<std::string>>(json, "peers", {}))
+        config.peers.push_back(endpoint<Udp>(peer, "peers"));
+    config.known = members(member(json, "known"));
+    const Json& settings = member(json, "settings");
+    if (!settings.is_object()) fail("settings", "has the wrong type");
+    read_settings(config, settings);
+    return config;
+}
+
+MemberList read_members(std::string_view json) { return members(read_object(json)); }
+
+}  // namespace kestrelhall::net
--- /dev/null
+++ b/src/net/log.hpp
@@ -0,0 +1,11 @@
+// The sidecar's log: whole lines on standard error.
+#pragma once
+
+#include <iostream>
+#include <string_view>
+
+namespace kestrelhall::net {
+
+inline void log_line(std::string_view text) { std::cerr << "whinledge: " << text << '\n'; }
+
+}  // namespace kestrelhall::net
--- /dev/null
+++ b/src/net/sidecar.hpp
@@ -0,0 +1,118 @@
+// The sidecar: owns the Balancer, turns what happens on the sockets into its events and carries out its
+// actions. Decides nothing.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <string>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+#include "net/clock.hpp"
+#include "net/config.hpp"
+#include "net/discovery.hpp"
+#include "net/front.hpp"
+#include "net/peers.hpp"
+#include "net/upstream.hpp"
+
+namespace kestrelhall::net {
+
+class Sidecar {
+public:
+    // Ready when it returns. Throws where the settings make no sense or an address can't be listened on.
+    Sidecar(boost::asio::io_context& io, Config config);
+
+    // Finishes what it holds and what still comes, then calls `done`.
+    void drain(std::function<void()> done);
+
+    Tcp::endpoint address() const { return front_->address(); }
+    Balancer::Held held() const { return balancer_.held(); }
+    std::size_t records() const { return requests_.size(); }
+
+private:
+    // Kept until the request has its answer and its attempts have ended.
+    struct Attempt {
+        ExchangeId exchange = 0;
+        ServerId server = 0;
+        Millis sent = 0;
+        bool out = true;
+    };
+    struct Request {
+        std::shared_ptr<const Front::Message> message;
+        Millis deadline = 0;
+        std::vector<Attempt> attempts;
+        std::size_t out = 0;
+        bool ended = false;
+    };
+    // Kept while it is listed or an attempt on it is out.
+    struct Server {
+        std::string name;
+        std::size_t out = 0;
+        bool listed = false;
+    };
+    struct AttemptLimit {
+        RequestId request;
+        std::uint32_t attempt;
+    };
+    // What is due. At one time attempts end before the module's timers fire, as on the simulator's wire.
+    struct Due {
+        Millis at;
+        std::uint64_t order;
+        std::variant<AttemptLimit, TimerToken> what;
+        bool operator<(const Due& other) const {  // the queue's top is the greatest
+            if (at != other.at) return at > other.at;
+            if (what.index() != other.what.index()) return what.index() > other.what.index();
+            return order > other.order;
+        }
+    };
+
+    void give(Event event);
+    void carry_out(const Action& action);
+    void carry_out(const Send& send);
+    void carry_out(const Cancel& cancel);
+    void answer(RequestId id, Front::Answer answer);
+
+    void arrived(Front::Arrival arrival);
+    void gone(RequestId id);
+    void ended(RequestId id, std::uint32_t attempt, Outcome outcome, Upstream::Response response);
+    void probe(ServerId server);
+
+    ServerId server_id(const std::string& name);
+    void list(ListKind kind, const MemberList& members);
+    void forget_request(RequestId id);
+    void forget_server(ServerId id);
+
+    void due(Millis at, std::variant<AttemptLimit, TimerToken> what);
+    void run_due();
+    void arm();
+
+    boost::asio::io_context& io_;
+    Config config_;
+    Clock clock_;
+    Balancer balancer_;
+    std::deque<Event> events_;  // what happened while actions were carried out
+    bool handling_ = false;
+    std::vector<Action> actions_;
+    std::unordered_map<RequestId, Request> requests_;
+    std::map<ServerId, Server> servers_;
+    std::unordered_map<std::string, ServerId> server_ids_;
+    ServerId next_server_ = 1;
+    std::priority_queue<Due> due_;
+    std::uint64_t next_due_ = 0;
+    boost::asio::steady_timer timer_;
+    Upstream upstream_;
+    std::optional<Discovery> discovery_;
+    std::optional<Peers> peers_;
+    std::optional<Front> front_;
+    boost::asio::steady_timer last_call_;  // of a drain
+    std::function<void()> drained_;
+};
+
+}  // namespace kestrelhall::net
--- /dev/null
+++ b/src/net/upstream.hpp
@@ -0,0 +1,80 @@
+// Requests to servers: one exchange at a time on each kept-alive connection, and how each of them ended.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/http.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "kestrelhall/balancer.hpp"
+#include "net/config.hpp"
+
+namespace kestrelhall::net {
+
+using ExchangeId = std::uint64_t;
+
+class Upstream {
+public:
+    // The body stays where `keep` keeps it.
+    struct Request {
+        boost::beast::http::request<boost::beast::http::span_body<const char>> message;
+        std::shared_ptr<const void> keep;
+    };
+    using Response = boost::beast::http::response<boost::beast::http::string_body>;
+    // Called once, never from within start(); the response is whole where the outcome is `completed`.
+    using Done = std::function<void(Outcome, Response)>;
+
+    struct Limits {
+        Millis connect_timeout = 250;
+        Millis idle = 14000;            // a connection idle for longer is not used any more
+        std::size_t connections = 512;  // open at once, to all servers
+    };
+
+    Upstream(boost::asio::io_context& io, Limits limits);
+    ~Upstream();
+
+    // Where the server listens; connections to another address, or to an earlier life, are not used again.
+    void set_server(ServerId server, const Tcp::endpoint& address, Millis started);
+    void forget_server(ServerId server);
+    void close_idle(ServerId server);
+
+    ExchangeId start(ServerId server, Request request, Done done);
+    // Stops waiting; Done is not called any more. False: the request was provably never written whole.
+    bool stop(ExchangeId exchange);
+
+    struct Stats {
+        std::size_t open = 0, opened = 0;
+    };
+    const Stats& stats() const { return stats_; }
+
+private:
+    class Connection;
+    using ConnectionPtr = std::shared_ptr<Connection>;
+    struct Server {
+        Tcp::endpoint address;
+        Millis started = 0;
+        std::uint64_t life = 0;
+        std::vector<ConnectionPtr> idle;  // the most recently used last
+    };
+
+    ConnectionPtr take_idle(Server& server);
+    bool make_room();
+    void drop_idle(Server& server);
+    void ended(ExchangeId exchange, const Done& done, Outcome outcome, Response response);
+    void reuse(const ConnectionPtr& connection);
+    void remove(const Connection& connection);
+
+    boost::asio::io_context& io_;
+    Limits limits_;
+    std::unordered_map<ServerId, Server> servers_;
+    std::unordered_map<ExchangeId, ConnectionPtr> exchanges_;
+    ExchangeId next_exchange_ = 1;
+    std::uint64_t next_life_ = 1;
+    Stats stats_;
+};
+
+}  // namespace kestrelhall::net
--- a/src/wire.cpp
+++ b/src/wire.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <charconv>
-#include <cmath>
 #include <istream>
 #include <ostream>
 
@@ -10,57 +9,19 @@
 
 namespace {
 
-template <class T>
-bool parse(std::string_view text, T& value) {
-    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-    return error == std::errc() && end == text.data() + text.size();
-}
-
-template <class T>
-using Names = std::vector<std::pair<std::string_view, T>>;
-
-template <class T>
-T named(const Message& message, std::string_view field, const Names<T>& names) {
-    const std::string_view text = message.text(field);
-    for (const auto& [name, value] : names)
-        if (name == text) return value;
-    message.fail(field, "is not a known word");
-}
-
-const Names<Phase> phases{{"on", Phase::on}, {"fading", Phase::fading}, {"off", Phase::off}};
-const Names<ListKind> list_kinds{{"INCREMENTAL", ListKind::incremental},
-                                 {"FULL", ListKind::full},
-                                 {"SAVED", ListKind::saved},
-                                 {"FAILED", ListKind::failed}};
-const Names<Effect> effects{
-    {"repeatable", Effect::repeatable}, {"by_key", Effect::by_key}, {"once", Effect::once}};
-const Names<DedupScope> scopes{
-    {"all", DedupScope::all}, {"zone", DedupScope::zone}, {"cell", DedupScope::cell}};
-const Names<Outcome> outcomes{{"completed", Outcome::completed},
-                              {"errored", Outcome::errored},
-                              {"saturated", Outcome::saturated},
-                              {"overdue", Outcome::overdue},
-                              {"refused_conn", Outcome::refused_connection},
-                              {"severed", Outcome::severed},
-                              {"recalled", Outcome::recalled},
-                              {"superseded", Outcome::superseded}};
-
-std::vector<std::string> split(std::string_view list) {
-    std::vector<std::string> items;
-    while (!list.empty()) {
-        const auto comma = list.find(',');
-        items.emplace_back(list.substr(0, comma));
-        list = comma == std::string_view::npos ? std::string_view() : list.substr(comma + 1);
-    }
-    return items;
-}
-
-std::uint32_t number_of(std::vector<std::string>& names, std::string_view name) {
-    const auto at = std::find(names.begin(), names.end(), name);
-    const auto id = static_cast<std::uint32_t>(at - names.begin());
-    if (at == names.end()) names.emplace_back(name);
-    return id;
-}
+const Fields::Names<Phase> phases{{"on", Phase::on}, {"fading", Phase::fading}, {"off", Phase::off}};
+const Fields::Names<ListKind> list_kinds{{"INCREMENTAL", ListKind::incremental},
+                                         {"FULL", ListKind::full},
+                                         {"SAVED", ListKind::saved},
+                                         {"FAILED", ListKind::failed}};
+const Fields::Names<Outcome> outcomes{{"completed", Outcome::completed},
+                                      {"errored", Outcome::errored},
+                                      {"saturated", Outcome::saturated},
+                                      {"overdue", Outcome::overdue},
+                                      {"refused_conn", Outcome::refused_connection},
+                                      {"severed", Outcome::severed},
+                                      {"recalled", Outcome::recalled},
+                                      {"superseded", Outcome::superseded}};
 
 void add_number(std::string& line, double value) {
     char buffer[40];
@@ -103,101 +64,15 @@
     }
 }
 
-void Message::fail(std::string_view field, std::string_view what) const {
-    throw WireError("line " + std::to_string(line_) + ": " + std::string(kind_) + ": field '" +
-                    std::string(field) + "' " + std::string(what));
-}
+std::string Message::place() const { return "line " + std::to_string(line_) + ": " + std::string(kind_); }
 
-const std::string_view* Message::find(std::string_view field) const {
+std::optional<std::string_view> Message::find(std::string_view field) const {
     for (const auto& [name, value] : fields_)
-        if (name == field) return &value;
-    return nullptr;
-}
-
-std::string_view Message::text(std::string_view field) const {
-    const auto* value = find(field);
-    if (!value) fail(field, "is missing");
-    return *value;
+        if (name == field) return value;
+    return std::nullopt;
 }
 
-double Message::number(std::string_view field) const {
-    double value = 0;
-    if (!parse(text(field), value) || !std::isfinite(value)) fail(field, "is not a number");
-    return value;
-}
-
-double Message::number_or(std::string_view field, double fallback) const {
-    return has(field) ? number(field) : fallback;
-}
-
-std::uint64_t Message::integer(std::string_view field) const {
-    std::uint64_t value = 0;
-    if (!parse(text(field), value)) fail(field, "is not a whole number");
-    return value;
-}
-
-std::uint64_t Message::integer_or(std::string_view field, std::uint64_t fallback) const {
-    return has(field) ? integer(field) : fallback;
-}
-
-bool Message::flag_or(std::string_view field, bool fallback) const {
-    if (!has(field)) return fallback;
-    const std::string_view value = text(field);
-    if (value == "1" || value == "true") return true;
-    if (value == "0" || value == "false") return false;
-    fail(field, "is not a truth value");
-}
-
-ZoneId Site::zone(std::string_view name) { return number_of(zones, name); }
-KindId Site::kind(std::string_view name) { return number_of(kinds, name); }
-
-Site read_site(const Message& start) {
-    Site site;
-    Settings& s = site.settings;
-    if (start.has("azs")) site.zones = split(start.text("azs"));
-    if (start.has("my-zone")) s.my_zone = site.zone(start.text("my-zone"));
-    for (std::uint64_t i = 0, count = start.integer("classes.count"); i < count; ++i) {
-        const std::string prefix = "classes." + std::to_string(i) + ".";
-        RequestClass c;
-        c.effect = named(start, prefix + "effect", effects);
-        if (start.has(prefix + "dedup-scope")) c.dedup_scope = named(start, prefix + "dedup-scope", scopes);
-        c.dedup_window = start.number_or(prefix + "dedup-window-ms", c.dedup_window);
-        c.aim = start.number(prefix + "on-time-ms");
-        c.aim_stretch = start.number_or(prefix + "aim-stretch", c.aim_stretch);
-        c.worth = start.number_or(prefix + "credit", c.worth);
-        const auto only = [&](const std::string& field, auto number) {
-            std::optional<std::vector<std::uint32_t>> numbers;
-            if (!start.has(field)) return numbers;
-            numbers.emplace();
-            for (const auto& name : split(start.text(field))) numbers->push_back((site.*number)(name));
-            return numbers;
-        };
-        c.zones = only(prefix + "confined-to", &Site::zone);
-        c.kinds = only(prefix + "models-allowed", &Site::kind);
-        s.classes.push_back(std::move(c));
-        site.classes.emplace_back(start.text(prefix + "name"));
-    }
-    for (std::uint64_t i = 0, count = start.integer_or("tenants.count", 0); i < count; ++i) {
-        const std::string prefix = "tenants." + std::to_string(i) + ".";
-        s.tenant_shares.push_back(start.number(prefix + "share"));
-        site.tenants.emplace_back(start.text(prefix + "name"));
-    }
-    s.over_share_worth = start.number_or("over-share-worth", s.over_share_worth);
-    if (start.has("membership-mode")) s.list_on_request = start.text("membership-mode") == "on_request";
-    s.ask_within = start.number_or("rules.ask-within-ms", s.ask_within);
-    s.siblings = static_cast<std::uint32_t>(start.integer_or("siblings", s.siblings));
-    s.max_attempts = static_cast<std::uint32_t>(start.integer_or("limits.max-attempts", s.max_attempts));
-    s.parallel_tries = start.flag_or("limits.parallel-tries", s.parallel_tries);
-    s.may_cancel = start.flag_or("limits.may-cancel", false);
-    s.cold_from = start.number_or("rules.cold-from", s.cold_from);
-    s.fall_multiple = start.number_or("rules.fall-multiple", s.fall_multiple);
-    s.saturated_is_no_proof = start.flag_or("rules.busy-is-no-proof", s.saturated_is_no_proof);
-    s.warm_within = start.number_or("rules.warm-within-ms", s.warm_within);
-    s.fees.cross_zone = start.number_or("fees.cross-zone", s.fees.cross_zone);
-    return site;
-}
-
-Outcome read_outcome(const Message& message) { return named(message, "rc", outcomes); }
+Outcome read_outcome(const Message& message) { return message.named("rc", outcomes); }
 
 std::vector<std::uint8_t> read_bytes(const Message& message, std::string_view field) {
     std::vector<std::uint8_t> bytes;
@@ -329,14 +204,8 @@
         arrived.time_left = message.number("time-left-ms");
         arrived.effort = message.number_or("effort-ms", 0);
         arrived.repeat = message.flag_or("repeat", false);
-        const auto& classes = instance.site.classes;
-        const auto grade = std::find(classes.begin(), classes.end(), message.text("grade"));
-        arrived.class_index = static_cast<std::uint32_t>(grade - classes.begin());
-        const auto& tenants = instance.site.tenants;
-        if (message.has("realm")) {
-            const auto realm = std::find(tenants.begin(), tenants.end(), message.text("realm"));
-            arrived.tenant = static_cast<std::uint32_t>(realm - tenants.begin());
-        }
+        arrived.class_index = instance.site.class_index(message.text("grade"));
+        if (message.has("realm")) arrived.tenant = instance.site.tenant_index(message.text("realm"));
         const std::string rid(message.text("rid"));
         const auto [known_id, fresh] = instance.request_ids.try_emplace(rid, instance.next_request);
         if (!fresh) message.fail("rid", "was given before");
@@ -382,7 +251,7 @@
         if (entry.has("rack-zone")) e.zone = entry.text("rack-zone");
         if (entry.has("kind")) e.kind = entry.text("kind");
         e.cell = static_cast<std::uint32_t>(entry.integer_or("pod", 0));
-        e.phase = named(entry, "phase", phases);
+        e.phase = entry.named("phase", phases);
         e.online_since = entry.number_or("online-since-ms", 0);
         entries.push_back(std::move(e));
     }
@@ -402,7 +271,7 @@
 }
 
 void Host::list(Instance& instance, const Message& message) {
-    ServerList list{named(message, "mode", list_kinds), {}};
+    ServerList list{message.named("mode", list_kinds), {}};
     if (list.kind != ListKind::failed) {
         const std::uint64_t ref = message.integer("ref");
         if (ref >= catalogs_.size()) message.fail("ref", "is out of range");
--- a/src/wire.hpp
+++ b/src/wire.hpp
@@ -5,59 +5,33 @@
 #include <array>
 #include <iosfwd>
 #include <map>
-#include <stdexcept>
 #include <string>
 #include <string_view>
 #include <unordered_map>
 #include <utility>
 #include <vector>
 
-#include "kestrelhall/balancer.hpp"
+#include "site.hpp"
 
 namespace kestrelhall::wire {
 
-// A line that can't be read; what() names line number, message and field.
-struct WireError : std::runtime_error {
-    using std::runtime_error::runtime_error;
-};
+using WireError = FieldError;  // names line number, message and field
 
-// One line taken apart: the message's name and its name=value pairs, with typed access that throws WireError.
-class Message {
+// One line taken apart: the message's name and its name=value pairs; its access throws WireError.
+class Message : public Fields {
 public:
     Message(std::string_view line, std::size_t number);
 
     std::string_view kind() const { return kind_; }
-    bool has(std::string_view field) const { return find(field) != nullptr; }
-    std::string_view text(std::string_view field) const;
-    double number(std::string_view field) const;
-    double number_or(std::string_view field, double fallback) const;
-    std::uint64_t integer(std::string_view field) const;
-    std::uint64_t integer_or(std::string_view field, std::uint64_t fallback) const;
-    bool flag_or(std::string_view field, bool fallback) const;
-
-    [[noreturn]] void fail(std::string_view field, std::string_view what) const;
+    std::optional<std::string_view> find(std::string_view field) const override;
+    std::string place() const override;
 
 private:
-    const std::string_view* find(std::string_view field) const;
-
     std::string_view kind_;
     std::size_t line_;
     std::vector<std::pair<std::string_view, std::string_view>> fields_;
 };
 
-// What START says beyond the library's settings: the names behind its integers.
-struct Site {
-    Settings settings;
-    std::vector<std::string> zones;
-    std::vector<std::string> kinds;
-    std::vector<std::string> classes;
-    std::vector<std::string> tenants;
-
-    // A name not met before gets the next number.
-    ZoneId zone(std::string_view name);
-    KindId kind(std::string_view name);
-};
-Site read_site(const Message& start);
 Outcome read_outcome(const Message& message);
 std::vector<std::uint8_t> read_bytes(const Message& message, std::string_view field);
 
