A handler's exception costs its event and no other; a drain accepts for 500 ms

Changed: an exception within an event or a handler is logged and the program goes on (Sidecar::give, main). A drain takes new connections for 500 ms, not 600: with the longest deadline it must be over before SIGKILL may come.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "net/config.hpp"
+#include "net/log.hpp"
 #include "net/sidecar.hpp"
 
 namespace {
@@ -31,7 +32,11 @@
         signals.async_wait([&](boost::system::error_code failed, int) {
             if (!failed) sidecar.drain([&] { io.stop(); });
         });
-        io.run();
+        while (!io.stopped()) try {
+                io.run();
+            } catch (const std::exception& error) {  // what one connection threw does not end the others
+                kestrelhall::net::log_line(error.what());
+            }
     } catch (const std::exception& error) {
         std::cerr << "whinledge: " << error.what() << '\n';
         return 1;
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -25,7 +25,7 @@
 
 constexpr Millis kIdleMargin = 0.07;  // of idle-close-ms: closed by us before the server does
 constexpr Millis kProbeTimeout = 250;
-constexpr Millis kAccepting = 600;  // of a drain: new connections come for up to 400 ms
+constexpr Millis kAccepting = 500;  // of a drain: new connections come for up to 400 ms
 constexpr Millis kLastCall = 3500;  // after which a drain ends whatever is open
 
 std::string decimal(double value, const char* format) {
@@ -87,8 +87,12 @@
         const Event next = std::move(events_.front());
         events_.pop_front();
         actions_.clear();
-        balancer_.handle(clock_.now(), next, actions_);
-        for (const Action& action : actions_) carry_out(action);
+        try {
+            balancer_.handle(clock_.now(), next, actions_);
+            for (const Action& action : actions_) carry_out(action);
+        } catch (const std::exception& error) {  // out of memory, say: costs this event and no other
+            log_line(std::string("an event failed: ") + error.what());
+        }
     }
     handling_ = false;
     arm();
