--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -274,7 +274,7 @@
 }
 
 void Front::closed(const ClientPtr& client) {
-    clients_.erase(client);
+    if (clients_.erase(client) == 0) return;
     asio::post(io_, [this] { accept(); });
     if (draining_ && !acceptor_.is_open() && clients_.empty() && callbacks_.drained)
         asio::post(io_, callbacks_.drained);
