SIGHUP: the configuration is read anew, and discovery moves with it

Cause: main.cpp took only SIGTERM and SIGINT, so SIGHUP had its default effect. Ruled out: a crash in the list's handling (129 is 128 + SIGHUP). Now the file is read again, the whole list is asked for at the new address (versions of two services need not compare), and the watch goes on from there. A whole list reaches the module as what it changes, so unchanged servers keep connections and history. A file that is wrong costs one log line.

--- a/include/kestrelhall/balancer.hpp
+++ b/include/kestrelhall/balancer.hpp
@@ -76,6 +76,7 @@
     Phase phase = Phase::on;
     Millis online_since = 0;  // when it last started; 0: long ago
     KindId kind = 0;          // of machine
+    bool operator==(const ServerInfo&) const = default;
 };
 
 // incremental: changed entries only. full: the whole list. saved: the whole list as last held before this
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -22,13 +22,28 @@
     return kestrelhall::net::read_config(std::string(std::istreambuf_iterator<char>(file), {}));
 }
 
+// On each SIGHUP the configuration is read anew. One that can't be read leaves the old in force.
+void reload_on(boost::asio::signal_set& hangups, kestrelhall::net::Sidecar& sidecar) {
+    hangups.async_wait([&](boost::system::error_code failed, int) {
+        if (failed) return;
+        reload_on(hangups, sidecar);
+        try {
+            sidecar.reload(configuration());
+        } catch (const std::exception& error) {
+            kestrelhall::net::log_line(std::string("the old configuration stays: ") + error.what());
+        }
+    });
+}
+
 }  // namespace
 
 int main() {
     try {
         boost::asio::io_context io(1);
+        // Signals first: one that comes while the sidecar starts waits for it.
+        boost::asio::signal_set hangups(io, SIGHUP), signals(io, SIGTERM, SIGINT);
         kestrelhall::net::Sidecar sidecar(io, configuration());
-        boost::asio::signal_set signals(io, SIGTERM, SIGINT);
+        reload_on(hangups, sidecar);
         signals.async_wait([&](boost::system::error_code failed, int) {
             if (!failed) sidecar.drain([&] { io.stop(); });
         });
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -116,12 +116,24 @@
 
 void Discovery::begin() {
     if (!watch_ || !watch_->open()) watch_ = std::make_shared<Call>(io_, address_);
-    watch_->get("/catalog/members?from=" + std::to_string(version_) +
-                    "&hold_ms=" + std::to_string(static_cast<int>(kHold)),
-                kHold + kPatience,
+    const std::string from =
+        "?from=" + std::to_string(version_) + "&hold_ms=" + std::to_string(static_cast<int>(kHold));
+    watch_->get("/catalog/members" + (compares_ ? from : ""), (compares_ ? kHold : 0) + kPatience,
                 [this](bool answered, const std::string& body) { finished(false, answered, body); });
 }
 
+void Discovery::move(const Tcp::endpoint& address) {
+    if (address == address_) return;
+    address_ = address;
+    compares_ = false;
+    backoff_ = kFirstBackoff;
+    if (active_) watch(true);
+    if (fetch_ && fetch_->open()) {
+        fetch_->close();
+        fetch();
+    }
+}
+
 void Discovery::fetch() {
     if (fetch_ && fetch_->open()) return;  // one is out
     fetch_ = std::make_shared<Call>(io_, address_);
@@ -136,14 +148,17 @@
     std::string why = "no answer";
     try {
         if (answered) list = read_members(body);
+        if (list && !compares_ && !list->full) throw ConfigError("not the whole list");
     } catch (const std::exception& error) {
         why = error.what();
+        list.reset();
         if (!fetched) watch_ = nullptr;
     }
     if (list) {
         backoff_ = kFirstBackoff;
         told_ = false;
         version_ = list->version;
+        compares_ = true;
         if (!fetched && active_) begin();  // before anything else: the next watch is due
         if (list->full || !list->members.empty()) callbacks_.changed(std::move(*list));
         return;
--- a/src/net/discovery.hpp
+++ b/src/net/discovery.hpp
@@ -25,6 +25,8 @@
 
     void watch(bool active);
     void fetch();  // the whole list, once
+    // Asks at another address from now on, for the whole list first: its versions say nothing of the others'.
+    void move(const Tcp::endpoint& address);
 
 private:
     class Call;
@@ -40,6 +42,7 @@
     std::shared_ptr<Call> watch_, fetch_;
     Millis backoff_;
     bool active_ = false, told_ = false;
+    bool compares_ = true;  // version_ is one of this address
 };
 
 }  // namespace kestrelhall::net
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -77,6 +77,8 @@
     });
 }
 
+void Sidecar::reload(const Config& config) { discovery_->move(config.discovery); }
+
 // ---- Events and actions -----------------------------------------------------------------------------------
 
 void Sidecar::give(Event event) {
@@ -252,8 +254,7 @@
     });
 }
 
-// ---- Servers
-// ------------------------------------------------------------------------------------------------
+// ---- Servers ----------------------------------------------------------------------------------------------
 
 ServerId Sidecar::server_id(const std::string& name) {
     const auto [at, fresh] = server_ids_.try_emplace(name, next_server_);
@@ -261,17 +262,29 @@
     return at->second;
 }
 
+// Of a whole list the module hears what it changes: all else keeps its connections and its history.
 void Sidecar::list(ListKind kind, const MemberList& members) {
-    ServerList event{kind, {}};
-    if (kind != ListKind::incremental)
-        for (auto& [id, server] : servers_) server.listed = false;
+    ServerList event{kind == ListKind::full ? ListKind::incremental : kind, {}};
+    std::unordered_set<ServerId> named;
     for (const Member& m : members.members) {
         const ServerId id = server_id(m.id);
-        servers_[id].listed = m.phase != Phase::off;
+        named.insert(id);
         if (m.phase != Phase::off) upstream_.set_server(id, m.address, m.started);
-        event.servers.push_back(
-            {id, config_.site.zone(m.zone), m.cell, m.phase, m.started, config_.site.kind(m.kind)});
+        const ServerInfo info{id,        config_.site.zone(m.zone), m.cell, m.phase,
+                              m.started, config_.site.kind(m.kind)};
+        Server& server = servers_[id];
+        const bool same = server.listed && server.info == info;
+        server.listed = m.phase != Phase::off;
+        server.info = info;
+        if (!same) event.servers.push_back(info);
     }
+    if (kind == ListKind::full)
+        for (auto& [id, server] : servers_) {
+            if (!server.listed || named.contains(id)) continue;
+            server.listed = false;
+            server.info.phase = Phase::off;
+            event.servers.push_back(server.info);
+        }
     give(std::move(event));
     std::vector<ServerId> ids;
     for (const auto& [id, server] : servers_) ids.push_back(id);
@@ -291,8 +304,7 @@
     servers_.erase(at);
 }
 
-// ---- Time
-// ---------------------------------------------------------------------------------------------------
+// ---- Time -------------------------------------------------------------------------------------------------
 
 void Sidecar::due(Millis at, std::variant<AttemptLimit, TimerToken> what) {
     due_.push({at, next_due_++, what});
--- a/src/net/sidecar.hpp
+++ b/src/net/sidecar.hpp
@@ -12,6 +12,7 @@
 #include <queue>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <variant>
 #include <vector>
 
@@ -32,6 +33,9 @@
     // Finishes what it holds and what still comes, then calls `done`.
     void drain(std::function<void()> done);
 
+    // Takes from a new configuration what can change while it runs: where discovery is.
+    void reload(const Config& config);
+
     Tcp::endpoint address() const { return front_->address(); }
     Balancer::Held held() const { return balancer_.held(); }
     std::size_t records() const { return requests_.size(); }
@@ -54,6 +58,7 @@
     // Kept while it is listed or an attempt on it is out.
     struct Server {
         std::string name;
+        ServerInfo info{};  // as the module was last told
         std::size_t out = 0;
         bool listed = false;
     };
--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -74,6 +74,20 @@
         ::execl(WHINLEDGE, WHINLEDGE, static_cast<char*>(nullptr));
         ::_exit(127);
     }
+    static Tcp::endpoint free_port(asio::io_context& io) {
+        return Tcp::acceptor(io, any_port).local_endpoint();
+    }
+    // Waits until the program is up.
+    static void connect(asio::io_context& io, std::optional<TestClient>& client, const Tcp::endpoint& to) {
+        run_until(io, [&] {
+            try {
+                client.emplace(io, to);
+                return true;
+            } catch (const boost::system::system_error&) {
+                return false;
+            }
+        });
+    }
     static int status_of(pid_t child) {
         int status = 0;
         ::waitpid(child, &status, 0);
@@ -93,22 +107,11 @@
 TEST_F(Program, FinishesItsWorkOnSigtermAndExitsWithZero) {
     asio::io_context io;
     ScriptedServer server(io, [](const auto&) { return Reply{}; });
-    Tcp::endpoint listen;
-    {
-        Tcp::acceptor free_port(io, any_port);
-        listen = free_port.local_endpoint();
-    }
+    const Tcp::endpoint listen = free_port(io);
     const pid_t child = start(config_json(server.address(), list_json(1, true, {{"s-a", server.address()}}),
                                           "1024", "127.0.0.1:" + std::to_string(listen.port())));
     std::optional<TestClient> client;
-    run_until(io, [&] {
-        try {
-            client.emplace(io, listen);
-            return true;
-        } catch (const boost::system::system_error&) {
-            return false;  // not up yet
-        }
-    });
+    connect(io, client, listen);
     client->send(request("listen", "id-1"));
     const auto held = [&] {
         for (std::size_t i = 0; i < server.connections.size(); ++i)
@@ -133,5 +136,44 @@
     EXPECT_EQ(status_of(child), 0);
 }
 
+// SIGHUP without a handler ends the program. It reads the file again and moves to the discovery named there;
+// a file that is wrong costs one line in the log; the hangups of a program that drains are harmless.
+TEST_F(Program, ReadsItsConfigurationAnewOnSighup) {
+    asio::io_context io;
+    ScriptedServer server(io, [](const auto&) { return Reply{response("200 OK", "served")}; });
+    const ScriptedServer::Script silence = [](const auto&) { return Reply{}; };
+    ScriptedServer before(io, silence), after(io, silence);
+    const Tcp::endpoint listen = free_port(io);
+    const auto config = [&](const ScriptedServer& discovery) {
+        return config_json(discovery.address(), list_json(7, true, {{"s-a", server.address()}}), "1024",
+                           "127.0.0.1:" + std::to_string(listen.port()));
+    };
+    const pid_t child = start(config(before));
+    std::optional<TestClient> client;
+    connect(io, client, listen);
+    run_until(io, [&] { return before.requests.size() == 1; });
+
+    std::ofstream(folder / "config.json") << "{\"name\"";
+    ::kill(child, SIGHUP);
+    const auto log = [&] {
+        std::ifstream file(folder / "log");
+        return std::string(std::istreambuf_iterator<char>(file), {});
+    };
+    run_until(io, [&] { return log().find("the old configuration stays") != std::string::npos; });
+    EXPECT_EQ(before.ended(), 0u);
+
+    std::ofstream(folder / "config.json") << config(after);
+    ::kill(child, SIGHUP);
+    ::kill(child, SIGHUP);
+    run_until(io, [&] { return !after.requests.empty() && before.ended() == 1; });
+    client->send(request("listen", "id-1"));
+    run_until(io, [&] { return !client->answers.empty(); });
+    EXPECT_EQ(client->answers.at(0).body(), "served");
+    ::kill(child, SIGTERM);
+    ::kill(child, SIGHUP);
+    EXPECT_EQ(status_of(child), 0);
+    EXPECT_EQ(after.connections.size(), 1u);
+}
+
 }  // namespace
 }  // namespace kestrelhall::net::test
--- a/tests/sidecar_test.cpp
+++ b/tests/sidecar_test.cpp
@@ -180,6 +180,44 @@
     until([&] { return watched_from("42"); });
 }
 
+// A new configuration names another discovery. Its versions need not compare with the old one's, so the whole
+// list is asked for, until there is one; the watch goes on from there.
+TEST_F(Net, AnotherDiscoveryIsAskedForItsWholeList) {
+    start();
+    until([&] { return watched_from("41"); });
+    ScriptedServer other(io, [](const auto&) { return Reply{response("503 Busy")}; });
+    Config config = read_config(config_json(other.address(), list_json(1, true, {})));
+    sidecar->reload(config);
+    until([&] { return other.requests.size() == 2 && agent.ended() == 1; });
+    for (const auto& r : other.requests) EXPECT_EQ(r.target(), "/catalog/members");
+    const std::size_t refused = other.requests.size();
+    other.script = [&](const auto&) {
+        if (other.requests.size() > refused + 1) return Reply{};
+        return Reply{response("200 OK", list_json(3, true, {{"s-b", b.address()}}))};
+    };
+    until([&] { return other.requests.back().target().find("from=3&") != boost::beast::string_view::npos; });
+    for (int i = 0; i < 4; ++i)
+        EXPECT_EQ(ask(request("listen", "id-" + std::to_string(i))).result_int(), 200u);
+    EXPECT_EQ(b.requests.size(), 4u);
+    const std::size_t asked = other.requests.size();
+    sidecar->reload(config);  // once more the same: nothing to do
+    EXPECT_EQ(ask(request("listen", "id-5")).result_int(), 200u);
+    EXPECT_EQ(other.requests.size(), asked);
+}
+
+// A whole list that tells nothing new must not cost an unchanged server its connections.
+TEST_F(Net, AWholeListKeepsTheConnectionsOfUnchangedServers) {
+    start();
+    until([&] { return watched_from("41"); });
+    for (int i = 0; i < 8; ++i) ask(request("listen", "id-" + std::to_string(i)));
+    const std::size_t open = a.connections.size() + b.connections.size();
+    tell(list_json(50, true, {{"s-b", b.address()}, {"s-a", a.address()}}));
+    until([&] { return watched_from("50"); });
+    for (int i = 8; i < 16; ++i) ask(request("listen", "id-" + std::to_string(i)));
+    EXPECT_EQ(a.connections.size() + b.connections.size(), open);
+    EXPECT_EQ(a.ended() + b.ended(), 0u);
+}
+
 TEST_F(Net, BadRequestsAreAnsweredAndClosedWithoutTheModule) {
     start();
     const std::string head = "GET /listen HTTP/1.1\r\nHost: app.svc\r\n";
