The front takes only what the protocol words, judged by its head

Cause: read_arrival() took any class and any id; servers answer 400, which the module books as failures of the server.

--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -19,8 +19,19 @@
 
 namespace {
 
-constexpr Millis kAcceptPause = 20;    // when no descriptor is to be had
-constexpr Millis kLongestRead = 5000;  // of one request, from its first byte
+constexpr Millis kAcceptPause = 20;  // when there is no room, or no descriptor to be had
+constexpr Millis kSweep = 250;       // between looks at whose time is up, which this adds to the times below
+// A client has this long to send a whole request, from its connecting or the request's first byte, and to
+// take an answer: error or close are owed within 3 s.
+constexpr Millis kLongestRead = 2500, kLongestWrite = 2500;
+// How long the client's end is awaited after a last answer; longer where it may still be sending.
+constexpr Millis kLinger = 300, kLongLinger = 2500;
+// Who has sent nothing whole for so long, or idled for so long, may have to make room. A usual client's first
+// request comes right behind its connecting.
+constexpr Millis kSilence = 25, kIdleness = 2000;
+constexpr Millis kIdMemory = 4000;  // at least; a request's id is used up for longer than any is open
+constexpr std::size_t kMostIds = 16384;
+constexpr std::size_t kLongestName = 256;  // of an id, a key, a tenant
 
 std::string text(boost::beast::string_view view) { return {view.data(), view.size()}; }
 
@@ -32,69 +43,96 @@
 }
 
 // The first part of the path.
-std::string first_part(boost::beast::string_view target) {
-    target.remove_prefix(target.starts_with('/') ? 1 : 0);
-    return text(target.substr(0, target.find_first_of("/?")));
+boost::beast::string_view first_part(boost::beast::string_view target) {
+    if (!target.starts_with('/')) return {};
+    target.remove_prefix(1);
+    return target.substr(0, target.find_first_of("/?"));
 }
 
-// None: not a request as the protocol words it.
-std::optional<Front::Arrival> read_arrival(const Front::Message& message) {
+// A header that stands there once, with something in it and not too long.
+bool is_given(const http::request_header<>& head, boost::beast::string_view name) {
+    return head.count(name) == 1 && !head[name].empty() && head[name].size() <= kLongestName;
+}
+
+// None: not a request as the protocol words it. What a request is must be told in one way only: a server that
+// reads it otherwise would turn it away, at its cost.
+std::optional<Front::Arrival> read_arrival(const http::request_header<>& head, bool has_body,
+                                           const Site& site) {
     Front::Arrival arrival;
-    const std::string timeout = text(message["Request-Timeout-Ms"]), hint = text(message["Work-Hint"]);
-    if (message["Request-Id"].empty() || !parse(timeout, arrival.time_left) || !(arrival.time_left >= 0) ||
-        arrival.time_left > 1e7)
+    std::uint32_t timeout = 0;
+    if (!is_given(head, "Host") || !is_given(head, "Request-Id") || !is_given(head, "Request-Class") ||
+        head.count("Request-Timeout-Ms") != 1 || !parse(text(head["Request-Timeout-Ms"]), timeout))
+        return std::nullopt;
+    const std::string name = text(head["Request-Class"]);
+    arrival.class_index = site.class_index(name);
+    if (arrival.class_index >= site.settings.classes.size() || first_part(head.target()) != name)
+        return std::nullopt;
+    const Effect effect = site.settings.classes[arrival.class_index].effect;
+    const bool safe = effect == Effect::repeatable;
+    const bool keyed = effect == Effect::by_key;
+    if (head.method() != (safe ? http::verb::get : http::verb::post) || (safe && has_body) ||
+        head.count("Idempotency-Key") != (keyed ? 1 : 0) || (keyed && !is_given(head, "Idempotency-Key")))
         return std::nullopt;
-    if (parse(hint, arrival.effort)) arrival.effort /= 1000;  // microseconds
+    arrival.time_left = std::min<Millis>(timeout, site.longest_wait);
+    if (parse(text(head["Work-Hint"]), arrival.effort)) arrival.effort /= 1000;  // microseconds
     if (!(arrival.effort >= 0 && arrival.effort < 1e7)) arrival.effort = 0;
-    arrival.class_name = text(message["Request-Class"]);
-    if (arrival.class_name.empty()) arrival.class_name = first_part(message.target());
-    arrival.tenant = text(message["Tenant"]);
-    arrival.repeat = message["Client-Retry"] == "1";
+    if (!head["Tenant"].empty()) arrival.tenant = site.tenant_index(text(head["Tenant"]));
+    arrival.repeat = head["Client-Retry"] == "1";
     return arrival;
 }
 
 }  // namespace
 
+bool Front::RecentIds::take(const std::string& id) {
+    if (const auto now = Clock::now(); now - since_ > span(kIdMemory) || now_.size() >= kMostIds) {
+        before_.clear();
+        before_.swap(now_);
+        since_ = now;
+    }
+    return !before_.contains(id) && now_.insert(id).second;
+}
+
 // One connection of the application: idle, sending a request, waiting for its answer, or being answered.
 class Front::Client : public std::enable_shared_from_this<Client> {
 public:
-    Client(Front& owner, Tcp::socket socket) : owner_(&owner), socket_(std::move(socket)), timer_(owner.io_) {
+    Client(Front& owner, Tcp::socket socket) : owner_(&owner), socket_(std::move(socket)) {
         error_code ignored;
         socket_.set_option(Tcp::no_delay(true), ignored);
         socket_.non_blocking(true, ignored);
     }
 
-    void next() {
+    // To begin with, and after each answer.
+    void next(bool first = false) {
         phase_ = Phase::idle;
-        since_ = std::chrono::steady_clock::now();
-        if (buffer_.size() > 0 || std::exchange(readable_, false)) return read();
-        buffer_.shrink_to_fit();
+        wait_in(first ? owner_->silent_ : owner_->idle_);
+        limit(first ? kLongestRead : 0);
+        if (!pending_.empty()) return begin();
         wait_readable();
         owner_->rested();
     }
 
-    // Idle, with nothing of a request come.
-    bool idle() {
-        char byte;
-        error_code error;
-        if (phase_ != Phase::idle) return false;
-        socket_.receive(asio::buffer(&byte, 1), Tcp::socket::message_peek, error);
-        return error == asio::error::would_block || error == asio::error::eof;
+    // Between requests, with nothing of a request come.
+    bool idle() const { return phase_ == Phase::idle && unread() == asio::error::would_block; }
+    // Its connection may be had: nothing has come, or nothing that counts.
+    bool spare() const { return phase_ != Phase::idle || unread() != error_code(); }
+    bool overdue(Clock::time_point now) const { return now >= limit_; }
+    void out_of_time() {
+        if (phase_ == Phase::reading) return reject(http::status::request_timeout);
+        close();
     }
-    std::chrono::steady_clock::time_point since() const { return since_; }
 
     void answer(Answer answer) {
         phase_ = Phase::answering;
         request_.reset();
+        limit(kLongestWrite);
         answer.version(11);
         answer.keep_alive(keep_ && !owner_->draining_);
         answer.prepare_payload();
-        answer_ = std::make_shared<Answer>(std::move(answer));
-        http::async_write(socket_, *answer_,
-                          [self = shared_from_this(), answer = answer_](error_code failed, std::size_t) {
+        const auto whole = std::make_shared<Answer>(std::move(answer));
+        http::async_write(socket_, *whole,
+                          [self = shared_from_this(), whole](error_code failed, std::size_t) {
                               if (!self->owner_) return;
-                              self->answer_.reset();
-                              if (failed || !answer->keep_alive()) return self->finish();
+                              if (failed || !whole->keep_alive()) return self->finish();
                               self->next();
                           });
     }
@@ -102,9 +140,9 @@
     void close() {
         if (!owner_) return;
         Front* const owner = std::exchange(owner_, nullptr);
+        leave(*owner);
         error_code ignored;
         socket_.close(ignored);
-        timer_.cancel();
         if (phase_ == Phase::waiting) {
             owner->held_.erase(id_);
             owner->callbacks_.gone(id_);
@@ -114,6 +152,28 @@
 
 private:
     enum class Phase { idle, reading, waiting, answering, finishing };
+    using Parser = http::request_parser<http::string_body>;
+
+    void limit(Millis length) {
+        limit_ = length > 0 ? Clock::now() + span(length) : Clock::time_point::max();
+    }
+
+    void leave(Front&) {
+        if (list_) list_->erase(place_);
+        list_ = nullptr;
+    }
+    void wait_in(Waiting& list) {
+        leave(*owner_);
+        list_ = &list;
+        place_ = list.insert(list.end(), {this, Clock::now()});
+    }
+
+    error_code unread() const {
+        char byte;
+        error_code error;
+        const_cast<Tcp::socket&>(socket_).receive(asio::buffer(&byte, 1), Tcp::socket::message_peek, error);
+        return error;
+    }
 
     // One wait at a time: for a request while idle, for the client's end while it waits.
     void wait_readable() {
@@ -127,107 +187,164 @@
 
     void readable(error_code failed) {
         if (failed) return close();
-        if (phase_ == Phase::idle) return read();
-        char byte;
-        error_code error;
-        socket_.receive(asio::buffer(&byte, 1), Tcp::socket::message_peek, error);
-        if (!error)
-            readable_ = true;  // its next request, early: read after this one's answer
-        else if (error == asio::error::would_block)
+        if (phase_ == Phase::idle) return begin();
+        if (phase_ == Phase::reading) return receive();
+        if (phase_ == Phase::finishing) return discard();
+        const error_code error = unread();
+        if (error == asio::error::would_block)
             wait_readable();
-        else if (phase_ != Phase::answering)
+        else if (error && phase_ != Phase::answering)
             close();
-        else
-            readable_ = true;  // its end: the answer goes out as far as it will
+        // Else its next request, early, or its end while the answer goes out: seen when that is done.
     }
 
-    void read() {
+    void begin() {
         phase_ = Phase::reading;
+        if (list_ == &owner_->idle_) {
+            wait_in(owner_->silent_);
+            limit(kLongestRead);
+        }
+        scan_ = {};
         parser_.emplace();
-        close_after(kLongestRead);
-        async_read_bounded(socket_, buffer_, *parser_, kBodyLimit,
-                           [self = shared_from_this()](error_code failed) {
-                               if (!self->owner_) return;
-                               self->timer_.cancel();
-                               self->arrived(failed);
-                           });
+        parser_->header_limit(kHeaderLimit);
+        parser_->body_limit(kBodyLimit);
+        parser_->eager(true);
+        pending_.empty() ? receive() : parse();
     }
 
-    void arrived(error_code failed) {
-        if (failed) return malformed(failed) ? reject() : close();
+    void receive() {
+        error_code error;
+        const std::size_t size = socket_.read_some(asio::buffer(owner_->scratch_), error);
+        if (error == asio::error::would_block) return wait_readable();
+        if (error) return close();  // its end, perhaps within a request: nobody waits for an answer
+        pending_.append(owner_->scratch_.data(), size);
+        parse();
+    }
+
+    void parse() {
+        if (!parser_->is_header_done()) {
+            const HeadScan::Found found = scan_.scan(pending_);
+            if (found == HeadScan::Found::fault) return reject(http::status::bad_request);
+            if (std::max(scan_.size(), found == HeadScan::Found::end ? 0 : pending_.size()) > kHeaderLimit)
+                return reject(http::status::request_header_fields_too_large);
+            if (found == HeadScan::Found::more) return receive();
+            if (const auto fault = read_head()) return reject(*fault);
+            if (phase_ != Phase::reading) return;
+        }
+        error_code error;
+        if (!parser_->is_done() && !pending_.empty())
+            pending_.erase(0, parser_->put(asio::buffer(pending_), error));
+        if (error && error != http::error::need_more)
+            return reject(error == http::error::body_limit ? http::status::payload_too_large
+                                                           : http::status::bad_request);
+        if (!parser_->is_done()) return receive();
+        arrived();
+    }
+
+    // Judges a request by its head, before any of its body is kept.
+    std::optional<http::status> read_head() {
+        error_code error;
+        parser_->eager(false);
+        pending_.erase(0, parser_->put(asio::buffer(pending_.data(), scan_.size()), error));
+        parser_->eager(true);
+        if (error == http::error::body_limit) return http::status::payload_too_large;
+        const Message& head = parser_->get();
+        if (error || !parser_->is_header_done() || (head.version() != 11 && head.version() != 10) ||
+            !framing_is_sound(head))
+            return http::status::bad_request;
         keep_ = parser_->keep_alive();
+        const bool has_body = parser_->chunked() || parser_->content_length().value_or(0) > 0;
+        if (head.target() == "/_health") {
+            if (has_body) return http::status::bad_request;
+            arrival_.reset();
+        } else {
+            arrival_ = read_arrival(head, has_body, owner_->site_);
+            if (!arrival_) return http::status::bad_request;
+        }
+        if (const auto expected = head[http::field::expect]; !expected.empty()) {
+            if (!boost::beast::iequals(expected, "100-continue")) return http::status::expectation_failed;
+            if (has_body && pending_.empty()) {
+                error_code ignored;  // its buffer is empty: it fits, or the connection has ended
+                socket_.write_some(asio::buffer(std::string_view("HTTP/1.1 100 Continue\r\n\r\n")), ignored);
+            }
+        }
+        return std::nullopt;
+    }
+
+    void arrived() {
+        leave(*owner_);
+        limit(0);
         request_ = std::make_shared<const Message>(parser_->release());
         parser_.reset();
-        if (request_->target() == "/_health")
+        if (pending_.empty()) std::string().swap(pending_);
+        if (!arrival_)
             return answer(plain(request_->method() == http::verb::get ? http::status::ok
                                                                       : http::status::method_not_allowed));
-        auto arrival = read_arrival(*request_);
-        if (!arrival) return reject();
-        arrival->id = id_ = owner_->next_request_++;
-        arrival->message = request_;
+        if (!owner_->ids_.take(text((*request_)["Request-Id"]))) return reject(http::status::conflict);
         phase_ = Phase::waiting;
+        arrival_->id = id_ = owner_->next_request_++;
+        arrival_->message = request_;
         owner_->held_[id_] = shared_from_this();
-        if (buffer_.size() == 0) wait_readable();
-        owner_->callbacks_.arrived(std::move(*arrival));
+        if (pending_.empty()) wait_readable();
+        owner_->callbacks_.arrived(std::move(*arrival_));
     }
 
-    void reject() {
+    void reject(http::status status) {
+        rejected_ = true;
         keep_ = false;
-        answer(plain(http::status::bad_request));
+        parser_.reset();
+        std::string().swap(pending_);
+        answer(plain(status));
     }
 
     // Closing over unread bytes would reset the connection and could take the answer with it: the client's
     // end is awaited, for a while.
     void finish() {
         phase_ = Phase::finishing;
+        wait_in(owner_->silent_);
+        limit(rejected_ ? kLongLinger : kLinger);
         error_code ignored;
         socket_.shutdown(Tcp::socket::shutdown_send, ignored);
-        close_after(kLinger);
-        discard();
+        wait_readable();
     }
+    // Once for each wait, so that who sends at full speed is no more than one among all.
     void discard() {
-        socket_.async_read_some(asio::buffer(scrap_),
-                                [self = shared_from_this()](error_code failed, std::size_t) {
-                                    if (failed) return self->close();
-                                    if (self->owner_) self->discard();
-                                });
-    }
-
-    void close_after(Millis length) {
-        timer_.expires_after(span(length));
-        timer_.async_wait([weak = weak_from_this(), phase = phase_](error_code cancelled) {
-            const auto self = weak.lock();
-            if (!cancelled && self && self->phase_ == phase) self->close();
-        });
+        error_code error;
+        socket_.read_some(asio::buffer(owner_->scratch_), error);
+        if (error && error != asio::error::would_block) return close();
+        wait_readable();
     }
 
-    static constexpr Millis kLinger = 300;
-
     Front* owner_;  // none: closed
     Tcp::socket socket_;
-    asio::steady_timer timer_;
-    boost::beast::flat_buffer buffer_{kHeaderLimit + kBodyLimit};
-    std::optional<http::request_parser<http::string_body>> parser_;
+    std::string pending_;  // read and not parsed
+    HeadScan scan_;
+    std::optional<Parser> parser_;
+    std::optional<Arrival> arrival_;
     std::shared_ptr<const Message> request_;
-    std::shared_ptr<Answer> answer_;
-    std::array<char, 512> scrap_{};
     Phase phase_ = Phase::idle;
     RequestId id_ = 0;
-    std::chrono::steady_clock::time_point since_;
-    bool keep_ = true, waiting_ = false, readable_ = false;
+    Clock::time_point limit_ = Clock::time_point::max();
+    Waiting* list_ = nullptr;
+    Waiting::iterator place_;
+    bool keep_ = true, waiting_ = false, rejected_ = false;
 };
 
-Front::Front(asio::io_context& io, const Tcp::endpoint& listen, std::size_t clients, Callbacks callbacks)
+Front::Front(asio::io_context& io, const Tcp::endpoint& listen, std::size_t clients, const Site& site,
+             Callbacks callbacks)
     : io_(io),
       acceptor_(io, listen, true),
       address_(acceptor_.local_endpoint()),
       most_clients_(clients),
+      site_(site),
       callbacks_(std::move(callbacks)),
       timer_(io),
+      sweep_timer_(io),
       drain_timer_(io) {
     acceptor_.non_blocking(true);
     acceptor_.listen(asio::socket_base::max_listen_connections);
     accept();
+    sweep();
 }
 
 Front::~Front() {
@@ -236,8 +353,20 @@
     for (const ClientPtr& client : std::exchange(clients_, {})) client->close();
 }
 
+// Ends what has had its time.
+void Front::sweep() {
+    const auto now = Clock::now();
+    for (const ClientPtr& client : std::vector<ClientPtr>(clients_.begin(), clients_.end()))
+        if (client->overdue(now)) client->out_of_time();
+    sweep_timer_.expires_after(span(kSweep));
+    sweep_timer_.async_wait([this](error_code cancelled) {
+        if (!cancelled) sweep();
+    });
+}
+
 void Front::accept() {
-    if (accepting_ || !acceptor_.is_open() || !make_room()) return;
+    if (accepting_ || !acceptor_.is_open()) return;
+    if (!make_room()) return pause();
     accepting_ = true;
     acceptor_.async_accept([this](error_code failed, Tcp::socket socket) {
         if (failed == asio::error::operation_aborted) return;
@@ -246,27 +375,38 @@
             accepted(std::move(socket));
             return accept();
         }
-        timer_.expires_after(span(kAcceptPause));  // out of descriptors, most likely
-        timer_.async_wait([this](error_code cancelled) {
-            if (!cancelled) accept();
-        });
+        pause();  // out of descriptors, most likely
+    });
+}
+
+void Front::pause() {
+    timer_.expires_after(span(kAcceptPause));
+    timer_.async_wait([this](error_code cancelled) {
+        if (!cancelled) accept();
     });
 }
 
 void Front::accepted(Tcp::socket socket) {
     const auto client = std::make_shared<Client>(*this, std::move(socket));
     clients_.insert(client);
-    client->next();
+    client->next(true);
 }
 
-// At the bound, the client that has been idle longest makes room; where none is, accepting waits for one.
+// At the bound, who has said nothing whole for longest makes room, then who has idled for longest; where
+// there is neither, accepting waits.
 bool Front::make_room() {
-    if (clients_.size() < most_clients_) return true;
-    ClientPtr oldest;
-    for (const ClientPtr& client : clients_)
-        if ((!oldest || client->since() < oldest->since()) && client->idle()) oldest = client;
-    if (oldest) oldest->close();
-    return clients_.size() < most_clients_;
+    return clients_.size() < most_clients_ || take_from(silent_, kSilence) || take_from(idle_, kIdleness) ||
+           take_from(idle_, 0);
+}
+
+bool Front::take_from(const Waiting& waiting, Millis least) {
+    for (const auto& [client, since] : waiting) {
+        if (Clock::now() - since < span(least)) return false;
+        if (!client->spare()) continue;
+        client->close();
+        return true;
+    }
+    return false;
 }
 
 void Front::rested() {
--- a/src/net/front.hpp
+++ b/src/net/front.hpp
@@ -1,11 +1,14 @@
 // The application's side: takes its requests over HTTP and gives each of them its one answer.
 #pragma once
 
+#include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/http.hpp>
+#include <chrono>
 #include <functional>
+#include <list>
 #include <memory>
 #include <string>
 #include <unordered_map>
@@ -23,8 +26,8 @@
     struct Arrival {
         RequestId id = 0;
         std::shared_ptr<const Message> message;
-        std::string class_name;
-        std::string tenant;
+        std::uint32_t class_index = 0;
+        std::uint32_t tenant = ~0U;
         Millis time_left = 0;
         Millis effort = 0;
         bool repeat = false;
@@ -36,7 +39,8 @@
     };
 
     // Listens at once; throws boost::system::system_error where it can't.
-    Front(boost::asio::io_context& io, const Tcp::endpoint& listen, std::size_t clients, Callbacks callbacks);
+    Front(boost::asio::io_context& io, const Tcp::endpoint& listen, std::size_t clients, const Site& site,
+          Callbacks callbacks);
     ~Front();
 
     // The final answer; the first one counts.
@@ -44,15 +48,31 @@
     // Goes on taking requests for that long, closing each connection with its answer, then only finishes.
     void drain(Millis accepting);
     Tcp::endpoint address() const { return address_; }
+    std::size_t clients() const { return clients_.size(); }
 
 private:
     class Client;
     using ClientPtr = std::shared_ptr<Client>;
+    using Clock = std::chrono::steady_clock;
+    // Those that a connection may be taken from, since when, the longest waiting first.
+    using Waiting = std::list<std::pair<Client*, Clock::time_point>>;
+
+    // The ids of requests taken of late, of which none may come again. Older ones are forgotten.
+    class RecentIds {
+    public:
+        bool take(const std::string& id);  // false: it has been
+    private:
+        std::unordered_set<std::string> now_, before_;
+        Clock::time_point since_ = Clock::now();
+    };
 
     void accept();
+    void pause();
     void accepted(Tcp::socket socket);
     void stop_accepting();
     bool make_room();
+    bool take_from(const Waiting& waiting, Millis least);
+    void sweep();
     void closed(const ClientPtr& client);
     void rested();
 
@@ -60,10 +80,15 @@
     Tcp::acceptor acceptor_;
     Tcp::endpoint address_;
     std::size_t most_clients_;
+    const Site& site_;
     Callbacks callbacks_;
     boost::asio::steady_timer timer_;  // of the next try to accept
+    boost::asio::steady_timer sweep_timer_;
     boost::asio::steady_timer drain_timer_;
     std::unordered_set<ClientPtr> clients_;
+    Waiting silent_, idle_;  // no whole request yet, or refused; between requests
+    RecentIds ids_;
+    std::array<char, 16 * 1024> scratch_{};  // what is read, before it is a connection's own
     std::unordered_map<RequestId, ClientPtr> held_;
     RequestId next_request_ = 1;
     bool draining_ = false, accepting_ = false;
--- a/src/net/message.hpp
+++ b/src/net/message.hpp
@@ -1,8 +1,10 @@
 // What both sides of the sidecar hold HTTP messages to.
 #pragma once
 
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/http.hpp>
 #include <cstddef>
+#include <string_view>
 #include <utility>
 
 namespace kestrelhall::net {
@@ -10,6 +12,47 @@
 constexpr std::size_t kBodyLimit = 64 * 1024;
 constexpr std::uint32_t kHeaderLimit = 16 * 1024;
 
+// Finds the end of a head as its bytes come. Line ends that another reader may take otherwise (a lone CR or
+// LF), folded lines and control characters are faults: they are how one message hides in another.
+class HeadScan {
+public:
+    enum class Found { more, end, fault };
+    // The bytes of before, and what has come since.
+    Found scan(std::string_view bytes) {
+        for (; at_ < bytes.size(); ++at_) {
+            const auto c = static_cast<unsigned char>(bytes[at_]);
+            if (std::exchange(cr_, c == '\r')) {
+                if (c != '\n') return Found::fault;
+                if (at_ == line_ + 1) return line_ == 0 ? Found::fault : (++at_, Found::end);
+                line_ = at_ + 1;
+            } else if ((c < ' ' && c != '\r' && c != '\t') || c == 127 ||
+                       (at_ == line_ && (c == ' ' || c == '\t'))) {
+                return Found::fault;
+            }
+        }
+        return Found::more;
+    }
+    std::size_t size() const { return at_; }
+
+private:
+    std::size_t at_ = 0, line_ = 0;  // read so far; where the line began
+    bool cr_ = false;
+};
+
+// How a message says where its body ends: not at all, by one length in plain digits, or by chunks alone.
+// Whatever else it says might be read in two ways.
+template <class Fields>
+bool framing_is_sound(const Fields& fields) {
+    using boost::beast::http::field;
+    const auto lengths = fields.count(field::content_length),
+               codings = fields.count(field::transfer_encoding);
+    if (lengths + codings > 1) return false;
+    if (codings == 1) return boost::beast::iequals(fields[field::transfer_encoding], "chunked");
+    const auto digits = fields[field::content_length];
+    return lengths == 0 || (!digits.empty() && digits.size() < 19 &&
+                            digits.find_first_not_of("0123456789") == boost::beast::string_view::npos);
+}
+
 // Whether reading ended on bytes that are not a message within the bounds, and not on the connection's end.
 inline bool malformed(boost::system::error_code error) {
     using Http = boost::beast::http::error;
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -59,7 +59,7 @@
     give(Started{});
     list(ListKind::saved, config_.known);
     if (!asked) discovery_->watch(true);
-    front_.emplace(io, config_.listen, half(config_.sockets),
+    front_.emplace(io, config_.listen, half(config_.sockets), config_.site,
                    Front::Callbacks{[this](Front::Arrival arrival) { arrived(std::move(arrival)); },
                                     [this](RequestId id) { gone(id); },
                                     [this] {
@@ -190,8 +190,8 @@
 void Sidecar::arrived(Front::Arrival arrival) {
     RequestArrived event;
     event.id = arrival.id;
-    event.class_index = config_.site.class_index(arrival.class_name);
-    if (!arrival.tenant.empty()) event.tenant = config_.site.tenant_index(arrival.tenant);
+    event.class_index = arrival.class_index;
+    event.tenant = arrival.tenant;
     event.time_left = arrival.time_left;
     event.effort = arrival.effort;
     event.repeat = arrival.repeat;
--- a/src/net/sidecar.hpp
+++ b/src/net/sidecar.hpp
@@ -39,6 +39,7 @@
     Tcp::endpoint address() const { return front_->address(); }
     Balancer::Held held() const { return balancer_.held(); }
     std::size_t records() const { return requests_.size(); }
+    std::size_t clients() const { return front_->clients(); }
 
 private:
     // Kept until the request has its answer and its attempts have ended.
--- a/src/site.cpp
+++ b/src/site.cpp
@@ -12,6 +12,8 @@
 const Fields::Names<DedupScope> scopes{
     {"all", DedupScope::all}, {"zone", DedupScope::zone}, {"cell", DedupScope::cell}};
 
+constexpr Millis kGiveUp = 60000;  // where the settings don't say when clients do
+
 std::vector<std::string> split(std::string_view list) {
     std::vector<std::string> items;
     while (!list.empty()) {
@@ -101,6 +103,7 @@
         };
         c.zones = only(prefix + "confined-to", &Site::zone);
         c.kinds = only(prefix + "models-allowed", &Site::kind);
+        site.longest_wait = std::max(site.longest_wait, start.number_or(prefix + "give-up-ms", kGiveUp));
         s.classes.push_back(std::move(c));
         site.classes.emplace_back(start.text(prefix + "name"));
     }
--- a/src/site.hpp
+++ b/src/site.hpp
@@ -62,6 +62,7 @@
     std::vector<std::string> kinds;
     std::vector<std::string> classes;
     std::vector<std::string> tenants;
+    Millis longest_wait = 0;  // of a client, for all tries of a request of any class
 
     // A name not met before gets the next number.
     ZoneId zone(std::string_view name);
