Admission judges crowding over 300 ms where answers are many

A probe that logged each final answer shows why: no server removed, answers at 0.3 of their aim, nothing hopeless, but the bound on attempts out stood at 10 to 17. Cause: adapt_room() in balance.cpp judges by a mean of ten answers; at 600 requests a second these come within 16 ms, and when by chance their mean passes 0.46 the bound falls to what is out at that moment. Ruled out: removals, hopeless(), the limits on connections. Now the mean is over the answers of 300 ms, where these are more than ten. The new test fails on the old code.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -41,6 +41,9 @@
 // slower answers late and overdrives servers, less refuses where service alone takes that long. The bound
 // starts far off, moves by a share for the time passed, and leaves kLeast of the demand.
 constexpr double kAimShare = 0.46, kRoomAtStart = 1000, kRoomGain = 0.004, kLeast = 0.25;
+// Crowding is judged over this time where it brings more than kSamples answers: at a busy sidecar those few
+// come within milliseconds of each other, and chance alone would pull the bound.
+constexpr Millis kCrowdMemory = 300;
 constexpr double kFeed = 0.7;  // of the multiple that fells a cold server; the rest is for unlike machines
 constexpr double kFloor = 4;   // attempts at a server by all sidecars together that admission always leaves
 constexpr double kHold = 1.0 / 16;  // of the aim: what cannot go out by then had better be tried anew
@@ -81,6 +84,7 @@
     std::map<KindId, Mean> kind_pace;
     std::map<std::pair<ZoneId, KindId>, Mean> place_pace;
     Mean crowding;  // answers' time against their aim, of late
+    Tally answers;  // that it is a mean of
     double top_worth = 1e-9;
     double room = kRoomAtStart;   // attempts that may be outstanding
     std::vector<RequestId> held;  // may name finished ones
@@ -420,7 +424,8 @@
             pooled->add(ratio, now, 5 * kSamples, 4 * kRateMemory);
         if (is_cold(s)) return;  // slow by nature: it says nothing of the pool
         const Millis since = std::min(now - crowding.at, 1000.0);
-        crowding.add(ratio, now, kSamples, kRateMemory);
+        answers.add(1, now, kCrowdMemory);
+        crowding.add(ratio, now, std::max(kSamples, answers.value), kRateMemory);
         const double pull = std::exp(kRoomGain * (kAimShare - crowding.value) * since);
         if (pull < 1)
             room = std::max(room_floor(), std::min(room, std::max<double>(mean_out, outstanding) + 1) * pull);
--- a/tests/balancer_test.cpp
+++ b/tests/balancer_test.cpp
@@ -474,6 +474,20 @@
     EXPECT_GT(sent, 30);
 }
 
+// Found on real sockets at 600 requests a second: the mean of ten answers, which come within milliseconds there,
+// met the bound by chance alone; the room fell to what was out, and a healthy pool's requests were refused.
+TEST(Admission, AFewSlowAnswersTogetherDoNotCloseABusySidecar) {
+    Rig rig(make_settings());
+    rig.list(ListKind::full, make_servers(10));
+    std::vector<RequestId> slow;
+    for (int i = 0; i < 400; ++i) {
+        if (i == 200) slow = rig.burst(10, 2000);  // answered after 380 ms, together
+        if (i == 390) rig.serve(slow, 0);
+        rig.serve(rig.burst(2, 2000), 2);
+    }
+    EXPECT_EQ(rig.still_out(rig.burst(30, 2000)), 30);
+}
+
 // Found on i6e769a and its like: with many sidecars each has few attempts out, and one late answer in a lull
 // took the room down to what was out at that moment.
 TEST(Admission, ALullDoesNotTakeTheRoomDown) {
