Silent connections make room before a client that has just been served

Cause: make_room() went on to any idle client. Now it waits for them. Two of the tests' own faults mended: a head cut at the wrong place, a body that was whole.

--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -392,11 +392,11 @@
     client->next(true);
 }
 
-// At the bound, who has said nothing whole for longest makes room, then who has idled for longest; where
-// there is neither, accepting waits.
+// At the bound, who has said nothing whole for longest makes room, then who has idled for longest. Accepting
+// waits where there is neither, or where one of the first will do in a moment.
 bool Front::make_room() {
     return clients_.size() < most_clients_ || take_from(silent_, kSilence) || take_from(idle_, kIdleness) ||
-           take_from(idle_, 0);
+           (silent_.empty() && take_from(idle_, 0));
 }
 
 bool Front::take_from(const Waiting& waiting, Millis least) {
--- a/tests/sidecar_test.cpp
+++ b/tests/sidecar_test.cpp
@@ -336,7 +336,7 @@
 TEST_F(Net, AnExpectedContinueIsSent) {
     start_with_a();
     TestClient& c = client();
-    const std::string all = request("deposit", "id-1", 900, "a song"), head = all.substr(0, all.size() - 8);
+    const std::string all = request("deposit", "id-1", 900, "a song"), head = all.substr(0, all.size() - 10);
     c.send(head + "\r\nExpect: 100-continue\r\n\r\n");
     until([&] { return c.answers.size() == 1; });
     EXPECT_EQ(c.answers[0].result_int(), 100u);
@@ -356,7 +356,8 @@
     until([&] { return !usual.answers.empty(); });
     TestClient &silent = client(), &half = client(), &body = client();
     half.send("GET /listen HTTP/1.1\r\nHost: app");
-    body.send(request("deposit", "id-2", 900, "a song").substr(0, 150));
+    const std::string whole = request("deposit", "id-2", 900, "a song");
+    body.send(whole.substr(0, whole.size() - 2));
     until([&] { return silent.ended && half.ended && body.ended; });
     EXPECT_TRUE(silent.answers.empty());
     for (const TestClient* c : {&half, &body}) {
