The server side reads and writes once, and judges an answer by its head

Cause: Beast's composed reads (512 bytes at first) and writes, each with a turn of the loop; a timer set for each reuse and for each event. Also from the code: endless 1xx were read for ever, an answer without a length was awaited to the connection's end, a late second copy could meet the next request. An answer's head is held to the same scan and framing as a request's; faults end the attempt at once as one that may have run; at most 8 interim answers; a connection rests 3 ms before it is used again; a 200 ahead of its request's end is nobody's. One log line a second for spoilt answers. Refusals carry Retry-After: about when what is out has been answered (they carried none).

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -610,11 +610,18 @@
         done.push_back(e.id);
     }
 
+    // When a refused client had better come back: what is out now has been answered by then and left its
+    // room.
+    Millis come_back(const Request& r) const {
+        const auto at = took.find(r.class_index);
+        return at == took.end() ? kAimShare * r.kind.aim : at->second.value;
+    }
+
     // The only final answer: a refusal where that is true, else a failure.
     void finish(Request& r) {
         if (r.ended || r.streaming) return;
         cancel_all(r);
-        act(may_refuse(r) ? Action(Refuse{r.id, 0}) : Action(GiveUp{r.id}));
+        act(may_refuse(r) ? Action(Refuse{r.id, come_back(r)}) : Action(GiveUp{r.id}));
         r.ended = true;
         done.push_back(r.id);
     }
--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <optional>
 #include <utility>
@@ -106,7 +107,10 @@
         phase_ = Phase::idle;
         wait_in(first ? owner_->silent_ : owner_->idle_);
         limit(first ? kLongestRead : 0);
-        if (!pending_.empty()) return begin();
+        if (!pending_.empty())  // its next request, early
+            return asio::post(owner_->io_, [self = shared_from_this()] {
+                if (self->owner_ && self->phase_ == Phase::idle) self->begin();
+            });
         wait_readable();
         owner_->rested();
     }
@@ -128,15 +132,29 @@
         answer.version(11);
         answer.keep_alive(keep_ && !owner_->draining_);
         answer.prepare_payload();
-        const auto whole = std::make_shared<Answer>(std::move(answer));
-        http::async_write(socket_, *whole,
-                          [self = shared_from_this(), whole](error_code failed, std::size_t) {
+        keep_ = answer.keep_alive();
+        out_ = head_text(answer.base());
+        body_ = std::move(answer.body());
+        // Mostly it goes out whole at once; what does not is written as the client takes it.
+        const std::array<asio::const_buffer, 2> whole{asio::buffer(out_), asio::buffer(body_)};
+        error_code error;
+        std::size_t size = socket_.write_some(whole, error);
+        if (error && error != asio::error::would_block) return finish();
+        if (size == out_.size() + body_.size()) return answered();
+        out_ += body_;
+        asio::async_write(socket_, asio::buffer(out_) + size,
+                          [self = shared_from_this()](error_code failed, std::size_t) {
                               if (!self->owner_) return;
-                              if (failed || !whole->keep_alive()) return self->finish();
-                              self->next();
+                              failed ? self->finish() : self->answered();
                           });
     }
 
+    void answered() {
+        std::string().swap(out_);
+        std::string().swap(body_);
+        keep_ ? next() : finish();
+    }
+
     void close() {
         if (!owner_) return;
         Front* const owner = std::exchange(owner_, nullptr);
@@ -317,7 +335,8 @@
 
     Front* owner_;  // none: closed
     Tcp::socket socket_;
-    std::string pending_;  // read and not parsed
+    std::string pending_;     // read and not parsed
+    std::string out_, body_;  // of the answer
     HeadScan scan_;
     std::optional<Parser> parser_;
     std::optional<Arrival> arrival_;
--- a/src/net/log.hpp
+++ b/src/net/log.hpp
@@ -2,10 +2,11 @@
 #pragma once
 
 #include <iostream>
+#include <string>
 #include <string_view>
 
 namespace kestrelhall::net {
 
-inline void log_line(std::string_view text) { std::cerr << "whinledge: " << text << '\n'; }
+inline void log_line(std::string_view text) { std::cerr << "whinledge: " + std::string(text) + '\n'; }
 
 }  // namespace kestrelhall::net
--- a/src/net/message.hpp
+++ b/src/net/message.hpp
@@ -4,6 +4,7 @@
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http.hpp>
 #include <cstddef>
+#include <string>
 #include <string_view>
 #include <utility>
 
@@ -53,11 +54,26 @@
                             digits.find_first_not_of("0123456789") == boost::beast::string_view::npos);
 }
 
-// Whether reading ended on bytes that are not a message within the bounds, and not on the connection's end.
-inline bool malformed(boost::system::error_code error) {
-    using Http = boost::beast::http::error;
-    return error.category() == make_error_code(Http::end_of_stream).category() &&
-           error != Http::end_of_stream && error != Http::partial_message;
+// What goes ahead of a message's body on the wire.
+inline std::string start_line(const boost::beast::http::request_header<>& head) {
+    const auto method = head.method_string(), target = head.target();
+    return std::string(method.data(), method.size()) + ' ' + std::string(target.data(), target.size()) +
+           " HTTP/1.1\r\n";
+}
+inline std::string start_line(const boost::beast::http::response_header<>& head) {
+    const auto reason = head.reason();
+    return "HTTP/1.1 " + std::to_string(head.result_int()) + ' ' + std::string(reason.data(), reason.size()) +
+           "\r\n";
+}
+template <class Header>
+std::string head_text(const Header& head) {
+    std::string text = start_line(head);
+    text.reserve(512);
+    for (const auto& field : head) {
+        text.append(field.name_string().data(), field.name_string().size()).append(": ");
+        text.append(field.value().data(), field.value().size()).append("\r\n");
+    }
+    return text += "\r\n";
 }
 
 // Reads one message within the bounds. The length that a header states is held against them before the body
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -24,6 +24,7 @@
 }
 
 constexpr Millis kIdleMargin = 0.07;  // of idle-close-ms: closed by us before the server does
+constexpr Millis kSettle = 3;         // of a connection, before the next request
 constexpr Millis kProbeTimeout = 250;
 constexpr Millis kAccepting = 500;  // of a drain: new connections come for up to 400 ms
 constexpr Millis kLastCall = 3500;  // after which a drain ends whatever is open
@@ -40,7 +41,8 @@
       config_(std::move(config)),
       balancer_(config_.site.settings, config_.seed),
       timer_(io),
-      upstream_(io, {config_.connect_timeout, config_.idle_close * (1 - kIdleMargin), half(config_.sockets)}),
+      upstream_(io, {config_.connect_timeout, config_.idle_close * (1 - kIdleMargin), half(config_.sockets),
+                     kSettle}),
       last_call_(io) {
     const bool asked = config_.site.settings.list_on_request;
     discovery_.emplace(io, config_.discovery, config_.known.version, !asked,
@@ -329,10 +331,13 @@
 }
 
 void Sidecar::arm() {
-    if (due_.empty()) return;
-    timer_.expires_at(clock_.when(due_.top().at));
+    if (due_.empty() || due_.top().at >= armed_) return;
+    armed_ = due_.top().at;
+    timer_.expires_at(clock_.when(armed_));
     timer_.async_wait([this](boost::system::error_code cancelled) {
-        if (!cancelled) run_due();
+        if (cancelled) return;
+        armed_ = std::numeric_limits<Millis>::infinity();
+        run_due();
     });
 }
 
--- a/src/net/sidecar.hpp
+++ b/src/net/sidecar.hpp
@@ -6,6 +6,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <deque>
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -113,6 +114,7 @@
     std::priority_queue<Due> due_;
     std::uint64_t next_due_ = 0;
     boost::asio::steady_timer timer_;
+    Millis armed_ = std::numeric_limits<Millis>::infinity();  // when the timer fires
     Upstream upstream_;
     std::optional<Discovery> discovery_;
     std::optional<Peers> peers_;
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -1,9 +1,9 @@
 #include "net/upstream.hpp"
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/post.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/asio/write.hpp>
 #include <optional>
 #include <utility>
 
@@ -19,6 +19,9 @@
 
 namespace {
 
+constexpr int kMostInterim = 8;  // answers 1xx ahead of one
+constexpr Millis kSweep = 250;   // between looks for what has been idle for too long
+
 // What an answer tells, by the protocol's table. An error without the proof may have run.
 Outcome outcome_of(const Upstream::Response& response) {
     const unsigned status = response.result_int();
@@ -40,12 +43,13 @@
     ~Connection() { close(); }
 
     void connect(const Tcp::endpoint& address) {
-        expire_after(owner_->limits_.connect_timeout);
+        timer_.expires_after(span(owner_->limits_.connect_timeout));
+        timer_.async_wait([weak = weak_from_this()](error_code cancelled) {
+            const auto self = weak.lock();
+            if (!cancelled && self && !self->connected_) self->fail(false);
+        });
         error_code error;
-        if (socket_.open(address.protocol(), error)) {  // out of descriptors
-            asio::post(socket_.get_executor(), [self = shared_from_this()] { self->fail(false); });
-            return;
-        }
+        if (socket_.open(address.protocol(), error)) return fail_later();  // out of descriptors
         ++owner_->stats_.opened;
         socket_.async_connect(address, [self = shared_from_this()](error_code failed) {
             if (failed || !self->exchange_) return self->fail(false);
@@ -53,31 +57,29 @@
             self->timer_.cancel();
             error_code ignored;
             self->socket_.set_option(Tcp::no_delay(true), ignored);
+            self->socket_.non_blocking(true, ignored);
             self->wait_readable();
             self->write();
         });
     }
 
     void carry(ExchangeId id, Request request, Done done) {
-        exchange_.emplace(Exchange{id, std::make_shared<Request>(std::move(request)), std::move(done)});
-        if (connected_) {
-            timer_.cancel();
-            write();
-        }
+        exchange_.emplace(Exchange{id, std::move(request), std::move(done)});
+        parser_.reset();
+        interim_ = 0;
+        if (connected_) write();
     }
 
-    void rest(Millis limit) {
+    void rest() {
         since_ = std::chrono::steady_clock::now();
-        expire_after(limit);
         wait_readable();
     }
-    // Nothing has come since it fell idle, not even its end, and it has not stood for too long.
-    bool fresh(Millis limit) {
+    // Nothing has come since it fell idle, not even its end.
+    bool quiet() {
         char byte;
         error_code error;
-        socket_.non_blocking(true, error);
         socket_.receive(asio::buffer(&byte, 1), Tcp::socket::message_peek, error);
-        return error == asio::error::would_block && std::chrono::steady_clock::now() - since_ < span(limit);
+        return error == asio::error::would_block;
     }
     std::chrono::steady_clock::time_point idle_since() const { return since_; }
 
@@ -105,32 +107,31 @@
 private:
     struct Exchange {
         ExchangeId id;
-        std::shared_ptr<Request> request;
+        Request request;
         Done done;
     };
 
-    void expire_after(Millis length) {
-        timer_.expires_after(span(length));
-        timer_.async_wait([weak = weak_from_this()](error_code cancelled) {
-            const auto self = weak.lock();
-            if (cancelled || !self) return;
-            if (!self->connected_)
-                self->fail(false);
-            else if (!self->exchange_)
-                self->close();
-        });
-    }
-
+    // Mostly a request goes out whole at once.
     void write() {
-        writing_ = true;
+        Exchange& exchange = *exchange_;
+        const auto body = exchange.request.message.body();
+        out_ = head_text(exchange.request.message.base());
+        const std::array<asio::const_buffer, 2> whole{asio::buffer(out_),
+                                                      asio::buffer(body.data(), body.size())};
         written_ = false;
-        http::async_write(
-            socket_, exchange_->request->message,
-            [self = shared_from_this(), request = exchange_->request](error_code failed, std::size_t) {
-                self->writing_ = false;
-                self->written_ = !failed;
-                if (failed || self->broken_) self->fail(!failed);
-            });
+        error_code error;
+        const std::size_t size = socket_.write_some(whole, error);
+        if (error && error != asio::error::would_block) return fail_later();
+        written_ = size == out_.size() + body.size();
+        if (written_) return;
+        writing_ = true;
+        out_.append(body.data(), body.size());
+        asio::async_write(socket_, asio::buffer(out_) + size,
+                          [self = shared_from_this()](error_code failed, std::size_t) {
+                              self->writing_ = false;
+                              self->written_ = !failed;
+                              if (failed || self->broken_) self->fail(!failed);
+                          });
     }
 
     void wait_readable() {
@@ -140,26 +141,68 @@
             self->waiting_ = false;
             if (!self->owner_) return;
             if (failed || !self->exchange_) return self->close();  // its end, or what nobody asked for
-            self->read();
+            self->receive();
         });
     }
 
-    void read() {
-        parser_.emplace();
-        async_read_bounded(socket_, buffer_, *parser_, kBodyLimit,
-                           [self = shared_from_this()](error_code failed) {
-                               if (!self->owner_ || !self->exchange_) return;
-                               if (failed) return self->broke(failed);
-                               if (self->parser_->get().result_int() / 100 == 1)
-                                   return self->read();  // the answer is yet to come
-                               self->answered();
-                           });
+    void receive() {
+        error_code error;
+        const std::size_t size = socket_.read_some(asio::buffer(owner_->scratch_), error);
+        if (error == asio::error::would_block) return wait_readable();
+        if (error) return broke(nullptr);
+        pending_.append(owner_->scratch_.data(), size);
+        // More than a head and a body can hold is not kept: whatever is behind them ends the connection.
+        if (const char* const fault = parse()) broke(fault);
     }
 
-    void broke(error_code why) {
-        if (malformed(why)) log_line("an answer that is not HTTP: " + why.message());
+    // What is wrong with the answer, if anything is.
+    const char* parse() {
+        while (!parser_ || !parser_->is_header_done()) {
+            if (!parser_) {
+                parser_.emplace();
+                parser_->header_limit(kHeaderLimit);
+                parser_->body_limit(kBodyLimit);
+                scan_ = {};
+            }
+            const HeadScan::Found found = scan_.scan(pending_);
+            if (found == HeadScan::Found::fault) return "no head of HTTP";
+            if (scan_.size() > kHeaderLimit) return "a head without end";
+            if (found == HeadScan::Found::more) return wait_readable(), nullptr;
+            error_code error;
+            pending_.erase(0, parser_->put(asio::buffer(pending_.data(), scan_.size()), error));
+            if (error || !parser_->is_header_done()) return "a head that can't be read";
+            const auto& head = parser_->get();
+            if (!framing_is_sound(head)) return "a length that can be read in two ways";
+            if (head.result_int() / 100 == 1) {  // the answer is yet to come
+                if (++interim_ > kMostInterim || head.result_int() == 101)
+                    return "interim answers without end";
+                parser_.reset();
+                continue;
+            }
+            if (parser_->need_eof()) {
+                // What only the connection's end delimits can't be told from what is cut off.
+                if (head.result_int() == 200) return "an answer without a length";
+                return answered(false), nullptr;
+            }
+            parser_->eager(true);
+        }
+        error_code error;
+        if (!parser_->is_done() && !pending_.empty())
+            pending_.erase(0, parser_->put(asio::buffer(pending_), error));
+        if (error && error != http::error::need_more) return "a body that can't be read";
+        if (!parser_->is_done()) return wait_readable(), nullptr;
+        if (writing_ && parser_->get().result_int() == 200) return "an answer ahead of its request's end";
+        answered(parser_->keep_alive());
+        return nullptr;
+    }
+
+    // None: the connection's end, which is no fault.
+    void broke(const char* fault) {
+        if (fault) owner_->log_fault(fault);
         // The proof that it never ran stands in the header.
-        if (parser_->is_header_done() && parser_->get().result_int() != 200) return answered();
+        if (parser_ && parser_->is_header_done() && parser_->get().result_int() > 200 &&
+            framing_is_sound(parser_->get()))
+            return answered(false);
         if (!writing_) return fail(written_);
         // Whether the last byte went out, the write's own end tells; nothing more goes out now.
         broken_ = true;
@@ -167,17 +210,22 @@
         socket_.close(ignored);
     }
 
-    void answered() {
-        // An answer that only the connection's end delimits can't be told from a truncated one.
-        if (parser_->need_eof() && parser_->get().result_int() == 200) return fail(true);
-        const bool keep = parser_->is_done() && parser_->keep_alive() && !writing_ && buffer_.size() == 0;
+    void answered(bool keep) {
+        // What comes behind a good answer is nobody's: the connection ends with it.
+        keep = keep && !writing_ && pending_.empty();
         Response response = parser_->release();
         parser_.reset();
-        buffer_.shrink_to_fit();
         const Outcome outcome = outcome_of(response);
         end(keep, outcome, std::move(response));
     }
 
+    // For where it would be within start().
+    void fail_later() {
+        asio::post(socket_.get_executor(), [self = shared_from_this(), id = exchange_->id] {
+            if (self->exchange_ && self->exchange_->id == id) self->fail(false);
+        });
+    }
+
     void fail(bool may_have_run) {
         if (!exchange_) return close();
         end(false, may_have_run ? Outcome::severed : Outcome::refused_connection, {});
@@ -188,6 +236,8 @@
         Upstream* const owner = owner_;
         Exchange exchange = std::move(*exchange_);
         exchange_.reset();
+        std::string().swap(pending_);
+        std::string().swap(out_);
         if (keep)
             owner->reuse(self);
         else
@@ -197,15 +247,19 @@
 
     Upstream* owner_;  // none: closed
     Tcp::socket socket_;
-    asio::steady_timer timer_;
-    boost::beast::flat_buffer buffer_{kHeaderLimit + kBodyLimit};
+    asio::steady_timer timer_;   // of connecting
+    std::string out_, pending_;  // what is written; read and not parsed
+    HeadScan scan_;
     std::optional<http::response_parser<http::string_body>> parser_;
     std::optional<Exchange> exchange_;
     std::chrono::steady_clock::time_point since_;
+    int interim_ = 0;
     bool connected_ = false, waiting_ = false, writing_ = false, written_ = false, broken_ = false;
 };
 
-Upstream::Upstream(asio::io_context& io, Limits limits) : io_(io), limits_(limits) {}
+Upstream::Upstream(asio::io_context& io, Limits limits) : io_(io), limits_(limits), sweep_timer_(io) {
+    sweep();
+}
 
 Upstream::~Upstream() {
     for (auto& [id, server] : servers_) drop_idle(server);
@@ -236,16 +290,42 @@
     for (const ConnectionPtr& connection : std::exchange(server.idle, {})) connection->close();
 }
 
+// The one used last of those that have been quiet for long enough: what belongs to nobody may still be coming
+// right behind the answer.
 Upstream::ConnectionPtr Upstream::take_idle(Server& server) {
-    while (!server.idle.empty()) {
-        const ConnectionPtr connection = std::move(server.idle.back());
-        server.idle.pop_back();
-        if (connection->fresh(limits_.idle)) return connection;
+    const auto settled = std::chrono::steady_clock::now() - span(limits_.settle);
+    for (std::size_t i = server.idle.size(); i-- > 0;) {
+        const ConnectionPtr connection = server.idle[i];
+        if (connection->idle_since() > settled) continue;
+        server.idle.erase(server.idle.begin() + static_cast<std::ptrdiff_t>(i));
+        if (connection->quiet()) return connection;
         connection->close();
     }
     return nullptr;
 }
 
+// Closes what has been idle for too long.
+void Upstream::sweep() {
+    const auto since = std::chrono::steady_clock::now() - span(limits_.idle);
+    for (auto& [id, server] : servers_)
+        while (!server.idle.empty() && server.idle.front()->idle_since() <= since)
+            ConnectionPtr(server.idle.front())->close();
+    sweep_timer_.expires_after(span(kSweep));
+    sweep_timer_.async_wait([this](error_code cancelled) {
+        if (!cancelled) sweep();
+    });
+}
+
+// One line a second at most: a server at fault may be so with every answer.
+void Upstream::log_fault(const char* fault) {
+    ++faults_;
+    const auto now = std::chrono::steady_clock::now();
+    if (now - logged_ < std::chrono::seconds(1)) return;
+    log_line("answers that can't be read: " + std::to_string(faults_) + ", the last one " + fault);
+    logged_ = now;
+    faults_ = 0;
+}
+
 // At the bound, the connection that has been idle longest makes room.
 bool Upstream::make_room() {
     if (stats_.open < limits_.connections) return true;
@@ -292,7 +372,7 @@
     const auto server = servers_.find(connection->server);
     if (server == servers_.end() || server->second.life != connection->life) return connection->close();
     server->second.idle.push_back(connection);
-    connection->rest(limits_.idle);
+    connection->rest();
 }
 
 void Upstream::remove(const Connection& connection) {
--- a/src/net/upstream.hpp
+++ b/src/net/upstream.hpp
@@ -1,9 +1,12 @@
 // Requests to servers: one exchange at a time on each kept-alive connection, and how each of them ended.
 #pragma once
 
+#include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/http.hpp>
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <string>
@@ -32,6 +35,7 @@
         Millis connect_timeout = 250;
         Millis idle = 14000;            // a connection idle for longer is not used any more
         std::size_t connections = 512;  // open at once, to all servers
+        Millis settle = 0;              // a connection is not used again before it has been quiet for so long
     };
 
     Upstream(boost::asio::io_context& io, Limits limits);
@@ -64,6 +68,8 @@
     ConnectionPtr take_idle(Server& server);
     bool make_room();
     void drop_idle(Server& server);
+    void sweep();
+    void log_fault(const char* fault);
     void ended(ExchangeId exchange, const Done& done, Outcome outcome, Response response);
     void reuse(const ConnectionPtr& connection);
     void remove(const Connection& connection);
@@ -75,6 +81,10 @@
     ExchangeId next_exchange_ = 1;
     std::uint64_t next_life_ = 1;
     Stats stats_;
+    boost::asio::steady_timer sweep_timer_;
+    std::array<char, 16 * 1024> scratch_{};  // what is read, before it is a connection's own
+    std::size_t faults_ = 0;                 // not logged yet
+    std::chrono::steady_clock::time_point logged_{};
 };
 
 }  // namespace kestrelhall::net
--- a/tests/balancer_test.cpp
+++ b/tests/balancer_test.cpp
@@ -307,6 +307,17 @@
     EXPECT_LE(rig.removals(), 3) << "the first seven, by two";
 }
 
+// A refusal says when to come back: in about the time in which what is out will have been answered.
+TEST(Admission, ARefusalTellsWhenToComeBack) {
+    Rig rig(make_settings());
+    rig.list(ListKind::full, make_servers(4));
+    for (int i = 0; i < 40; ++i) rig.serve(rig.burst(20, 2000), 350);
+    rig.burst(200, 2000);
+    rig.pass(300);
+    EXPECT_GT(rig.come_back.size(), 100u);
+    for (const Millis told : rig.come_back) EXPECT_TRUE(told > 100 && told < 400) << told;
+}
+
 // Found on voices-archive: queues filled with work that was already late, and stayed so.
 TEST(Admission, CrowdedPoolBoundsWhatIsOutAndRefusesTheRest) {
     Rig rig(make_settings());
@@ -474,8 +485,9 @@
     EXPECT_GT(sent, 30);
 }
 
-// Found on real sockets at 600 requests a second: the mean of ten answers, which come within milliseconds there,
-// met the bound by chance alone; the room fell to what was out, and a healthy pool's requests were refused.
+// Found on real sockets at 600 requests a second: the mean of ten answers, which come within milliseconds
+// there, met the bound by chance alone; the room fell to what was out, and a healthy pool's requests were
+// refused.
 TEST(Admission, AFewSlowAnswersTogetherDoNotCloseABusySidecar) {
     Rig rig(make_settings());
     rig.list(ListKind::full, make_servers(10));
--- a/tests/net_rig.hpp
+++ b/tests/net_rig.hpp
@@ -222,6 +222,13 @@
         until([&] { return !c.answers.empty() || c.ended; });
         return c.answers.empty() ? TestClient::Answer{} : c.answers.front();
     }
+    // Long enough for connections to servers to be used again.
+    void rest() {
+        asio::steady_timer timer(io, std::chrono::milliseconds(10));
+        bool rested = false;
+        timer.async_wait([&](error_code) { rested = true; });
+        until([&] { return rested; });
+    }
     std::size_t arrived() const { return a.requests.size() + b.requests.size(); }
     void tell(const std::string& list) { agent.send(agent.connections.size() - 1, response("200 OK", list)); }
     bool watched_from(const std::string& version) const {
--- a/tests/rig.hpp
+++ b/tests/rig.hpp
@@ -67,6 +67,7 @@
     std::vector<Action> last;  // actions of the last event
     RequestId next_id = 1;
     std::vector<std::string> logs;
+    std::vector<Millis> come_back;  // what refusals told
 
     explicit Rig(Settings s, std::uint64_t seed = 1) : settings(s), balancer(std::move(s), seed) {}
 
@@ -190,6 +191,7 @@
     void watch(const Action& action) {
         if (const auto* send = std::get_if<Send>(&action)) on_send(*send);
         if (const auto* refuse = std::get_if<Refuse>(&action)) {
+            come_back.push_back(refuse->retry_in);
             Open& r = requests.at(refuse->id);
             const Sent* first = nullptr;
             for (const Sent& s : r.sent)
--- a/tests/sidecar_test.cpp
+++ b/tests/sidecar_test.cpp
@@ -41,6 +41,7 @@
     for (std::size_t i = 1; i <= 3; ++i) {
         c.send(request("listen", "id-" + std::to_string(i)));
         until([&] { return c.answers.size() == i; });
+        rest();
     }
     EXPECT_FALSE(c.ended);
     EXPECT_EQ(a.connections.size(), 1u);
@@ -209,11 +210,17 @@
 TEST_F(Net, AWholeListKeepsTheConnectionsOfUnchangedServers) {
     start();
     until([&] { return watched_from("41"); });
-    for (int i = 0; i < 8; ++i) ask(request("listen", "id-" + std::to_string(i)));
+    for (int i = 0; i < 16; ++i) {
+        ask(request("listen", "id-" + std::to_string(i)));
+        rest();
+    }
     const std::size_t open = a.connections.size() + b.connections.size();
     tell(list_json(50, true, {{"s-b", b.address()}, {"s-a", a.address()}}));
     until([&] { return watched_from("50"); });
-    for (int i = 8; i < 16; ++i) ask(request("listen", "id-" + std::to_string(i)));
+    for (int i = 16; i < 24; ++i) {
+        ask(request("listen", "id-" + std::to_string(i)));
+        rest();
+    }
     EXPECT_EQ(a.connections.size() + b.connections.size(), open);
     EXPECT_EQ(a.ended() + b.ended(), 0u);
 }
--- a/tests/upstream_test.cpp
+++ b/tests/upstream_test.cpp
@@ -82,6 +82,68 @@
               Outcome::severed);
 }
 
+// What can't be read, or in two ways, or does not end, is a failure that may have run, at once and not when
+// the connection ends; nothing of it is kept.
+TEST_F(UpstreamTest, ASpoiltAnswerOnAConnectionThatStaysOpenIsNoAnswer) {
+    const std::string ok = "HTTP/1.1 200 OK\r\n", end = "\r\n\r\n";
+    std::string interim;
+    for (int i = 0; i < 1000; ++i) interim += "HTTP/1.1 102 Processing\r\n\r\n";
+    for (const std::string& spoilt :
+         {ok + "Content-Length: 4\r\nTransfer-Encoding: chunked" + end + "0\r\n\r\n",
+          ok + "Content-Length: 4\r\nContent-Length: 4" + end + "abcd",
+          ok + "Content-Length: +4" + end + "abcd", ok + "Content-Length: -4" + end,
+          ok + "Content-Length: 3221225472" + end + std::string(9000, 'x'),
+          ok + "Transfer-Encoding: gzip" + end + "abcd",
+          ok + "Transfer-Encoding: chunked" + end + "zz\r\nabcd",
+          ok + "Transfer-Encoding: chunked" + end + "20000\r\n" + std::string(0x20000, 'x'),
+          ok + "A: b\nContent-Length: 0" + end, ok + "Folded: a\r\n b\r\nContent-Length: 0" + end,
+          ok + "no colon" + end, ok + end, ok + "X: " + std::string(20000, 'x'), interim,
+          std::string("HTTP/1.1 101 Switching\r\n\r\n"), std::string("HTTP/1.1 2x0 OK\r\n\r\n"),
+          std::string("\x16\x03\x01\x02")}) {
+        SCOPED_TRACE(spoilt.substr(0, 120));
+        EXPECT_EQ(outcome_of({spoilt}), Outcome::severed);
+        EXPECT_EQ(upstream->stats().open, 0u);
+    }
+}
+
+// A second copy or noise behind a good answer is nobody's: the answer is served, the connection is not used
+// again.
+TEST_F(UpstreamTest, WhatComesBehindAGoodAnswerEndsTheConnection) {
+    ScriptedServer server(io, [&](const auto& r) {
+        const std::string answer = response("200 OK", std::to_string(server.requests.size()) + r.body());
+        return Reply{server.requests.size() == 1 ? answer + answer : answer + "noise"};
+    });
+    EXPECT_EQ(one(server.endpoint()).response.body(), "1");
+    EXPECT_EQ(one(server.endpoint()).response.body(), "2");
+    EXPECT_EQ(server.connections.size(), 2u);
+    EXPECT_EQ(upstream->stats().open, 0u);
+}
+
+// The copy may come a moment later, when the connection is back in the pool: it rests before it is used
+// again.
+TEST_F(UpstreamTest, AConnectionRestsBeforeItIsUsedAgain) {
+    make({250, 10000, 8, 10000});
+    ScriptedServer server(io, [](const auto&) { return Reply{response("200 OK")}; });
+    EXPECT_EQ(one(server.endpoint()).outcome, Outcome::completed);
+    EXPECT_EQ(one(server.endpoint()).outcome, Outcome::completed);
+    EXPECT_EQ(server.connections.size(), 2u);
+    EXPECT_EQ(server.ended(), 0u);
+}
+
+// A server begins when the last byte has come: a 200 ahead of that is another request's.
+TEST_F(UpstreamTest, AnAnswerAheadOfItsRequestsEndIsNotItsAnswer) {
+    Tcp::acceptor acceptor(io, any_port);
+    std::optional<Tcp::socket> accepted;
+    acceptor.async_accept([&](error_code, Tcp::socket socket) {
+        accepted.emplace(std::move(socket));
+        asio::write(*accepted, asio::buffer(response("200 OK", "another's")));
+    });
+    upstream->set_server(kServer, acceptor.local_endpoint(), 0);
+    start(std::make_shared<std::string>(64 << 20, 'x'));  // more than all buffers between hold
+    until([&] { return !ends.empty(); });
+    EXPECT_EQ(ends.at(0).outcome, Outcome::refused_connection);
+}
+
 TEST_F(UpstreamTest, AnInterimAnswerIsNotTheAnswer) {
     EXPECT_EQ(outcome_of({"HTTP/1.1 100 Continue\r\n\r\n" + response("200 OK")}), Outcome::completed);
 }
