A class shuns a server for three failures in a full window

A probe that logged crowding shows ten attempts out at some servers at the full aim and none at others at a fifth of it. Cause: judge() in balance.cpp lets a class shun a server for 10 s when its part of the window is below 0.9; a class with seven of twenty outcomes is, after one failure, and 3 % of answers are spoilt by any server alike. So classes went from server to server and crowded on those left. The new test fails with a limit of one failure.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -34,6 +34,9 @@
 constexpr double kMixPrior = 20;     // requests that as good as stand in the mix at the shares agreed
 constexpr double kHopeless = 1.25;   // of what an answer takes: with less time left a try is as good as lost
 constexpr double kLeastPace = 0.05;  // below this share of the aim, quicker is no better
+// A class that has few of a full window's outcomes shuns a server for no less than this many failures: one
+// that may come from any server would drive the class from server to server, until a few carry all of it.
+constexpr int kFaults = 3;
 constexpr double kKindWorth = 3;  // answers of its own that weigh as much as what is known of a server's kind
 // Retry budget: a fifth more attempts than requests in the long run, and this many at a stretch.
 constexpr double kRetryShare = 0.2, kRetryBurst = 10;
@@ -251,7 +254,7 @@
         const bool outright = outcome != Outcome::completed && outcome != Outcome::saturated &&
                               (outcome != Outcome::overdue || silent);
         const bool alone = fails_one_class(s, r.class_index);
-        if (outright && (alone || s.window.size() < kWindow) &&
+        if (outright && (s.window.size() < kWindow || (alone && s.failures_of(r.class_index) >= kFaults)) &&
             s.share_of(r.class_index, true, 1) < kThreshold)
             s.shunned_until[r.class_index] = now + kBackoff;
         if (!success && below_threshold(s) && !alone && may_remove(s)) remove(s);
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -41,6 +41,10 @@
         return static_cast<double>(
             std::count_if(window.begin(), window.end(), [](const Result& w) { return w.success; }));
     }
+    auto failures_of(std::uint32_t class_index) const {
+        return std::count_if(window.begin(), window.end(),
+                             [&](const Result& w) { return w.class_index == class_index && !w.success; });
+    }
     // The share of successes in the window, of one class or of all the others; 0 where too few are there to
     // tell.
     double share_of(std::uint32_t class_index, bool own, double few) const {
--- a/tests/balancer_test.cpp
+++ b/tests/balancer_test.cpp
@@ -140,6 +140,24 @@
     EXPECT_GE(served_there, 1000) << "tried again after the backoff";
 }
 
+// Found on real sockets where any server spoils a few answers in a hundred: each cost its class that server
+// for a backoff, and the class crowded on the few servers left to it.
+TEST(Shun, OneFailureInAFullWindowIsNotTheServers) {
+    Rig rig(make_settings({make_class(Effect::repeatable), make_class(Effect::once)}));
+    rig.list(ListKind::full, make_servers(2));
+    for (int i = 0; i < 100; ++i) rig.end(rig.request(i % 5 == 0), Outcome::completed, 10);
+    const RequestId failed = rig.request(1);
+    const ServerId server = rig.where(failed);
+    rig.end(failed, Outcome::severed, 10);
+    int met = 0;
+    for (int i = 0; i < 40; ++i) {
+        const RequestId id = rig.request(1);
+        met += rig.where(id) == server;
+        rig.end(id, Outcome::completed, 10);
+    }
+    EXPECT_GT(met, 5);
+}
+
 TEST(Shun, WhoNobodyElseMayReplaceIsStillUsed) {
     Rig rig(make_settings({make_class(Effect::once)}));
     rig.list(ListKind::full, make_servers(1));
