--- a/src/discovery/member_json.cpp
+++ b/src/discovery/member_json.cpp
@@ -133,6 +133,8 @@
 }
 
 Json parse(std::string_view text) {
+    // The parser takes a NUL for the end of its input, whatever comes behind it.
+    if (text.find('\0') != std::string_view::npos) fail("holds a NUL");
     Guard guard;
     Json json;
     if (Json::sax_parse(text, &guard)) json = Json::parse(text, nullptr, false);
--- a/tests/unit/member_json_test.cpp
+++ b/tests/unit/member_json_test.cpp
@@ -101,6 +101,13 @@
     EXPECT_EQ(fault(list("{\"id\":\"\xff\"}")), "is not JSON, or not all of it is there");
 }
 
+TEST(MemberJson, NothingHidesBehindANul) {
+    const std::string whole = list(kWhole);
+    EXPECT_EQ(fault(whole + std::string(1, '\0') + "and on"), "holds a NUL");
+    EXPECT_EQ(fault(whole + std::string(1, '\0')), "holds a NUL");
+    EXPECT_EQ(fault(list(kWhole + std::string(1, '\0'))), "holds a NUL");
+}
+
 TEST(MemberJson, RefusesAKeyThatStandsTwice) {
     EXPECT_EQ(fault(entry(R"("id":"s","addr":"1.2.3.4:5","state":"Gone","state":"Ready")")),
               "key 'state' stands twice");
