--- a/bench/platform_cpu.cpp
+++ b/bench/platform_cpu.cpp
@@ -139,8 +139,12 @@
         "rules":{"cold-from":0.16,"warm-within-ms":20000.0},"membership-mode":"pushed","siblings":3}})";
 }
 
-// Microseconds of the program's CPU for each request; below zero: something was not served.
-double play(const std::string& program, std::size_t requests) {
+// Microseconds of the program's CPU for each request, of all and in user space alone; below zero: something
+// was not served.
+struct Cost {
+    double all = 0, user = 0;
+};
+Cost play(const std::string& program, std::size_t requests) {
     asio::io_context io;
     std::list<Server> servers;
     std::vector<std::string> addresses;
@@ -177,8 +181,9 @@
     const auto seconds = [](const timeval& t) {
         return static_cast<double>(t.tv_sec) + 1e-6 * static_cast<double>(t.tv_usec);
     };
-    const double cpu = seconds(usage.ru_utime) + seconds(usage.ru_stime);
-    return load.good == requests ? 1e6 * cpu / static_cast<double>(requests) : -1;
+    if (load.good != requests) return {-1, -1};
+    const double each = 1e6 / static_cast<double>(requests);
+    return {each * (seconds(usage.ru_utime) + seconds(usage.ru_stime)), each * seconds(usage.ru_utime)};
 }
 
 }  // namespace
@@ -190,20 +195,25 @@
     }
     const int rounds = std::atoi(words[1]);
     const auto requests = static_cast<std::size_t>(std::atol(words[2]));
-    std::map<int, std::vector<double>> figures;
+    std::map<int, std::vector<double>> figures, users;
     for (int round = 0; round < rounds; ++round)
         for (int i = 3; i < count; ++i) {
-            const double us = play(words[i], requests);
-            if (us < 0) std::cerr << words[i] << ": not every request was served\n";
-            figures[i].push_back(us);
+            const Cost cost = play(words[i], requests);
+            if (cost.all < 0) std::cerr << words[i] << ": not every request was served\n";
+            figures[i].push_back(cost.all);
+            users[i].push_back(cost.user);
         }
     for (auto& [i, all] : figures) {
         std::vector<double> ratios;
         for (std::size_t r = 0; r < all.size(); ++r) ratios.push_back(all[r] / figures[3][r]);
         std::sort(all.begin(), all.end());
         std::sort(ratios.begin(), ratios.end());
+        auto& user = users[i];
+        std::sort(user.begin(), user.end());
         std::printf(
-            "%s: us of CPU a request: least %.1f, median %.1f, most %.1f; ratio to the first, median %.3f\n",
-            words[i], all.front(), all[all.size() / 2], all.back(), ratios[ratios.size() / 2]);
+            "%s: us of CPU a request: least %.1f, median %.1f, most %.1f (in user space, median %.1f); ratio "
+            "to the first, median %.3f\n",
+            words[i], all.front(), all[all.size() / 2], all.back(), user[user.size() / 2],
+            ratios[ratios.size() / 2]);
     }
 }
--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -27,11 +27,21 @@
 constexpr std::size_t kLongestName = 256;  // of an id, a key, a tenant
 
 std::string text(boost::beast::string_view view) { return {view.data(), view.size()}; }
+std::string_view view(boost::beast::string_view text) { return {text.data(), text.size()}; }
 
+template <class Field>
+bool is_timeout(const Field& field) {
+    return field.name() == http::field::unknown &&
+           boost::beast::iequals(field.name_string(), "Request-Timeout-Ms");
+}
+
+Front::Reply empty(http::status status) {
+    return {HeadText::response(static_cast<unsigned>(status), view(http::obsolete_reason(status))), {}};
+}
 Front::Reply plain(http::status status) {
-    Front::Reply answer(status, 11);
-    answer.body() = text(http::obsolete_reason(status));
-    answer.set(http::field::content_type, "text/plain");
+    Front::Reply answer = empty(status);
+    answer.head.add("Content-Type", "text/plain");
+    answer.body = text(http::obsolete_reason(status));
     return answer;
 }
 
@@ -42,10 +52,34 @@
     return target.substr(0, target.find_first_of("/?"));
 }
 
-// A header that stands there once, with something in it and not too long.
-bool is_given(const http::request_header<>& head, boost::beast::string_view name) {
-    return head.count(name) == 1 && !head[name].empty() && head[name].size() <= kLongestName;
-}
+// What the protocol knows of a head, found in one pass over its fields.
+class Known {
+public:
+    enum Name { id, kind, timeout, key, tenant, affinity, hint, retry, info, kNames };
+    explicit Known(const http::request_header<>& head) {
+        static constexpr std::array<boost::beast::string_view, kNames> names{
+            "Request-Id",   "Request-Class", "Request-Timeout-Ms", "Idempotency-Key", "Tenant",
+            "Affinity-Key", "Work-Hint",     "Client-Retry",       "Request-Info"};
+        for (const auto& field : head) {
+            if (field.name() != http::field::unknown) continue;
+            const auto name = std::find_if(names.begin(), names.end(), [&](const auto& n) {
+                return boost::beast::iequals(field.name_string(), n);
+            });
+            if (name == names.end()) continue;
+            const auto at = static_cast<std::size_t>(name - names.begin());
+            if (counts_[at]++ == 0) values_[at] = view(field.value());
+        }
+    }
+    std::size_t count(Name name) const { return counts_[name]; }
+    std::string_view operator[](Name name) const { return values_[name]; }  // of the first
+    // It stands there once, with something in it and not too long.
+    bool given(Name name) const { return counts_[name] == 1 && is_name(values_[name]); }
+    static bool is_name(std::string_view value) { return !value.empty() && value.size() <= kLongestName; }
+
+private:
+    std::array<std::size_t, kNames> counts_{};
+    std::array<std::string_view, kNames> values_{};
+};
 
 std::string decimal(double value, const char* format) {
     char text[40];
@@ -54,24 +88,20 @@
 
 // None: not a request as the protocol words it. What a request is must be told in one way only: a server that
 // reads it otherwise would turn it away, at its cost.
-bool names_all(const http::request_header<>& head) {
-    static constexpr std::array<boost::beast::string_view, 5> once{"Tenant", "Affinity-Key", "Work-Hint",
-                                                                   "Client-Retry", "Request-Info"};
-    std::array<bool, once.size()> seen{};
-    for (const auto& field : head)
-        for (std::size_t i = 0; i < once.size() && field.name() == http::field::unknown; ++i)
-            if (boost::beast::iequals(field.name_string(), once[i]) && std::exchange(seen[i], true))
-                return false;
-    const std::string target = text(head.target());
-    return is_sound_target(target) && !has_dot_segment(target) && is_sound_host(text(head["Host"])) &&
-           is_given(head, "Host") && is_given(head, "Request-Id") && is_given(head, "Request-Class") &&
-           head.count("Request-Timeout-Ms") == 1;
+bool names_all(const http::request_header<>& head, const Known& known) {
+    for (const auto once : {Known::tenant, Known::affinity, Known::hint, Known::retry, Known::info})
+        if (known.count(once) > 1) return false;
+    const std::string_view target = view(head.target()), host = view(head[http::field::host]);
+    return is_sound_target(target) && !has_dot_segment(target) && is_sound_host(host) &&
+           head.count(http::field::host) == 1 && Known::is_name(host) && known.given(Known::id) &&
+           known.given(Known::kind) && known.count(Known::timeout) == 1;
 }
-std::optional<Arrival> read_arrival(const http::request_header<>& head, bool has_body, const Site& site) {
+std::optional<Arrival> read_arrival(const http::request_header<>& head, const Known& known, bool has_body,
+                                    const Site& site) {
     Arrival arrival;
     std::uint32_t timeout = 0;
-    if (!parse(text(head["Request-Timeout-Ms"]), timeout)) return std::nullopt;
-    const std::string name = text(head["Request-Class"]);
+    if (!parse(std::string(known[Known::timeout]), timeout)) return std::nullopt;
+    const std::string name(known[Known::kind]);
     arrival.class_index = site.class_index(name);
     if (arrival.class_index >= site.settings.classes.size() || first_part(head.target()) != name)
         return std::nullopt;
@@ -79,13 +109,14 @@
     const bool safe = effect == Effect::repeatable;
     const bool keyed = effect == Effect::by_key;
     if (head.method() != (safe ? http::verb::get : http::verb::post) || (safe && has_body) ||
-        head.count("Idempotency-Key") != (keyed ? 1 : 0) || (keyed && !is_given(head, "Idempotency-Key")))
+        known.count(Known::key) != (keyed ? 1 : 0) || (keyed && !known.given(Known::key)))
         return std::nullopt;
     arrival.time_left = std::min<Millis>(timeout, site.longest_wait);
-    if (parse(text(head["Work-Hint"]), arrival.effort)) arrival.effort /= 1000;  // microseconds
+    if (parse(std::string(known[Known::hint]), arrival.effort)) arrival.effort /= 1000;  // microseconds
     if (!(arrival.effort >= 0 && arrival.effort < 1e7)) arrival.effort = 0;
-    if (!head["Tenant"].empty()) arrival.tenant = site.tenant_index(text(head["Tenant"]));
-    arrival.repeat = head["Client-Retry"] == "1";
+    if (const auto tenant = known[Known::tenant]; !tenant.empty())
+        arrival.tenant = site.tenant_index(std::string(tenant));
+    arrival.repeat = known[Known::retry] == "1";
     return arrival;
 }
 
@@ -107,15 +138,17 @@
         : client_(std::move(client)), message_(std::move(message)) {}
 
     Upstream::Request outgoing(Millis time_left) const override {
+        HeadText head = HeadText::request(view(message_.method_string()), view(message_.target()));
+        head.add("Host", view(message_[http::field::host]));
+        each_end_to_end(message_, [&](const auto& field) {
+            if (!is_timeout(field)) head.add(view(field.name_string()), view(field.value()));
+        });
+        head.add("Request-Timeout-Ms", static_cast<std::uint64_t>(std::max(1.0, time_left)));
+        const std::string& body = message_.body();
+        if (!body.empty() || message_.method() == http::verb::post) head.add("Content-Length", body.size());
         Upstream::Request to;
-        to.message.method_string(message_.method_string());
-        to.message.target(message_.target());
-        to.message.version(11);
-        copy_end_to_end(to.message, message_);
-        to.message.set(http::field::host, message_[http::field::host]);
-        to.message.set("Request-Timeout-Ms", decimal(std::max(1.0, std::floor(time_left)), "%.0f"));
-        to.message.body() = boost::beast::span<const char>(message_.body().data(), message_.body().size());
-        to.message.prepare_payload();
+        to.head = head.whole();
+        to.body = body;
         to.keep = shared_from_this();
         return to;
     }
@@ -174,12 +207,10 @@
         phase_ = Phase::answering;
         begun_ = false;
         limit(kLongestWrite);
-        reply.version(11);
-        reply.keep_alive(keep_ && !door_->draining() && door_->stays(*this));
-        reply.prepare_payload();
-        keep_ = reply.keep_alive();
-        out_ = head_text(reply.base());
-        body_ = std::move(reply.body());
+        keep_ = keep_ && !door_->draining() && door_->stays(*this);
+        if (!keep_) reply.head.add("Connection", "close");
+        out_ = reply.head.add("Content-Length", reply.body.size()).whole();
+        body_ = std::move(reply.body);
         if (head_only_) body_.clear();
         // Mostly it goes out whole at once; what does not is written as the client takes it.
         const std::array<asio::const_buffer, 2> whole{asio::buffer(out_), asio::buffer(body_)};
@@ -333,11 +364,12 @@
             if (has_body) return http::status::bad_request;
             arrival_.reset();
         } else {
-            if (!names_all(head)) return http::status::bad_request;
+            const Known known(head);
+            if (!names_all(head, known)) return http::status::bad_request;
             const auto place = front_.callbacks_.place(head);
             if (!place) return http::status::bad_request;
             site_ = place->site;
-            arrival_ = read_arrival(head, has_body, *site_);
+            arrival_ = read_arrival(head, known, has_body, *site_);
             if (!arrival_) return http::status::bad_request;
         }
         if (const auto expected = head[http::field::expect]; !expected.empty()) {
@@ -417,25 +449,25 @@
 void Front::Request::served(std::unique_ptr<Answer> answer) noexcept {
     end([&] {
         Upstream::Response& from = static_cast<HttpAnswer&>(*answer).message;
-        Reply reply(http::status::ok, 11);
-        copy_end_to_end(reply, from);
-        reply.body() = std::move(from.body());
+        Reply reply = empty(http::status::ok);
+        each_end_to_end(
+            from, [&](const auto& field) { reply.head.add(view(field.name_string()), view(field.value())); });
+        reply.body = std::move(from.body());
         return reply;
     });
 }
 
 void Front::Request::refused(Millis retry_in) noexcept {
     end([&] {
-        Reply reply(http::status::service_unavailable, 11);
-        if (retry_in > 0) reply.set(http::field::retry_after, decimal(retry_in / 1000, "%.3f"));
+        Reply reply = empty(http::status::service_unavailable);
+        if (retry_in > 0) reply.head.add("Retry-After", decimal(retry_in / 1000, "%.3f"));
         return reply;
     });
 }
 
 void Front::Request::failed(Failure why) noexcept {
     end([&] {
-        return Reply(why == Failure::too_late ? http::status::gateway_timeout : http::status::bad_gateway,
-                     11);
+        return empty(why == Failure::too_late ? http::status::gateway_timeout : http::status::bad_gateway);
     });
 }
 
--- a/src/http/front.hpp
+++ b/src/http/front.hpp
@@ -22,7 +22,11 @@
 public:
     using Tcp = Door::Tcp;
     using Message = boost::beast::http::request<boost::beast::http::string_body>;
-    using Reply = boost::beast::http::response<boost::beast::http::string_body>;
+    // An answer; whoever writes it adds Connection and Content-Length to its head.
+    struct Reply {
+        HeadText head;
+        std::string body;
+    };
     // Where a request goes: whose classes it is of, and the pool.
     struct Place {
         const Site* site = nullptr;
--- a/src/http/message.hpp
+++ b/src/http/message.hpp
@@ -368,9 +368,9 @@
     return false;
 }
 
-// Copies what belongs to the message itself and not to the connection that it came on.
-template <class To, class From>
-void copy_end_to_end(To& to, const From& from) {
+// What belongs to the message itself and not to the connection that it came on.
+template <class From, class Each>
+void each_end_to_end(const From& from, Each each) {
     using boost::beast::http::field;
     const bool nominates = from.find(field::connection) != from.end();
     for (const auto& header : from) switch (header.name()) {
@@ -388,9 +388,46 @@
             case field::upgrade:
                 break;
             default:
-                if (!nominates || !is_nominated(from, header.name_string()))
-                    to.insert(header.name(), header.name_string(), header.value());
+                if (!nominates || !is_nominated(from, header.name_string())) each(header);
         }
 }
+template <class To, class From>
+void copy_end_to_end(To& to, const From& from) {
+    each_end_to_end(
+        from, [&](const auto& header) { to.insert(header.name(), header.name_string(), header.value()); });
+}
+
+// A head as it goes out, written once: neither a set of fields nor a copy of their texts is made for it.
+class HeadText {
+public:
+    static HeadText request(std::string_view method, std::string_view target) {
+        HeadText head;
+        head.text_.reserve(512);
+        head.text_.append(method).append(" ").append(target).append(" HTTP/1.1\r\n");
+        return head;
+    }
+    static HeadText response(unsigned status, std::string_view reason) {
+        HeadText head;
+        head.text_.reserve(512);
+        head.text_.append("HTTP/1.1 ")
+            .append(std::to_string(status))
+            .append(" ")
+            .append(reason)
+            .append("\r\n");
+        return head;
+    }
+    HeadText& add(std::string_view name, std::string_view value) {
+        text_.append(name).append(": ").append(value).append("\r\n");
+        return *this;
+    }
+    HeadText& add(std::string_view name, std::uint64_t value) { return add(name, std::to_string(value)); }
+    std::string whole() {  // once: it is spent with it
+        text_.append("\r\n");
+        return std::move(text_);
+    }
+
+private:
+    std::string text_;
+};
 
 }  // namespace whinledge
--- a/src/http/transport.cpp
+++ b/src/http/transport.cpp
@@ -10,8 +10,6 @@
 
 namespace whinledge {
 
-namespace http = boost::beast::http;
-
 void HttpTransport::set_machine(MachineId machine, const std::string& address, Millis started) {
     upstream_.set_server(machine, endpoint_of<boost::asio::ip::tcp>(address), started);
 }
@@ -51,9 +49,7 @@
 
 void HttpTransport::probe(PoolId, MachineId machine, Millis timeout, Listener& listener) {
     Upstream::Request ping;
-    ping.message.method(http::verb::get);
-    ping.message.target("/ping");
-    ping.message.set(http::field::host, "ping");
+    ping.head = HeadText::request("GET", "/ping").add("Host", "ping").whole();
     const auto timer = std::make_shared<boost::asio::steady_timer>(io_, span(timeout));
     const auto told = [machine, timer, &listener](Outcome outcome) {
         timer->cancel();
--- a/src/http/upstream.cpp
+++ b/src/http/upstream.cpp
@@ -164,15 +164,15 @@
     // Mostly a request goes out whole at once.
     void write() {
         Exchange& exchange = *exchange_;
-        const auto body = exchange.request.message.body();
-        out_ = head_text(exchange.request.message.base());
+        const std::string_view body = exchange.request.body;
+        out_ = std::move(exchange.request.head);
         last_ = !exchange.request.rest;
         if (exchange.request.rest)
             exchange.request.rest->on_bytes = [weak = weak_from_this()] {
                 if (const auto self = weak.lock()) self->write_rest();
             };
         if (exchange.request.chunked) {  // rare: no length was told ahead
-            add_chunk(std::string_view(body.data(), body.size()));
+            add_chunk(body);
             if (last_) end_chunks(exchange.request.trailers);
             return write_on(0);
         }
--- a/src/http/upstream.hpp
+++ b/src/http/upstream.hpp
@@ -11,6 +11,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -69,11 +70,12 @@
     using PassOn = std::function<std::shared_ptr<Stream>(Response head, std::optional<std::uint64_t> length)>;
     // The body stays where `keep` keeps it.
     struct Request {
-        boost::beast::http::request<boost::beast::http::span_body<const char>> message;
-        std::shared_ptr<const void> keep;
+        std::string head;  // from its first line to the empty one
+        std::string_view body{};
+        std::shared_ptr<const void> keep{};
         // Tells what an answer's head means; none: the platform's table.
         const Judge* judge = nullptr;
-        // More of the body, behind message.body(); the head says how long it is, or that it comes in chunks.
+        // More of the body, behind `body`; the head says how long it is, or that it comes in chunks.
         std::shared_ptr<Stream> rest{};
         bool chunked = false;
         Trailers trailers{};  // of a chunked body that is whole
--- a/src/http/web.cpp
+++ b/src/http/web.cpp
@@ -158,19 +158,21 @@
 
     Upstream::Request outgoing(Millis) const override {
         Upstream::Request to;
-        to.message.base() = head;
-        to.message.body() = boost::beast::span<const char>(body.data(), body.size());
+        HeadText text = HeadText::request(view(head.method_string()), view(head.target()));
+        for (const auto& field : head) text.add(view(field.name_string()), view(field.value()));
+        to.body = body;
         to.keep = shared_from_this();
         to.rest = rest;
         if (rest && length) {
-            to.message.set(http::field::content_length, std::to_string(*length));
+            text.add("Content-Length", *length);
         } else if (rest || !trailers.empty()) {
             to.chunked = true;
-            to.message.set(http::field::transfer_encoding, "chunked");
+            text.add("Transfer-Encoding", "chunked");
             to.trailers = trailers;
         } else if (has_body || !body.empty()) {
-            to.message.set(http::field::content_length, std::to_string(body.size()));
+            text.add("Content-Length", body.size());
         }
+        to.head = text.whole();
         return to;
     }
     Outcome outcome_of(const http::response_header<>& answer) const override {
--- a/tests/fuzz/server_bytes.cpp
+++ b/tests/fuzz/server_bytes.cpp
@@ -77,10 +77,9 @@
 
     void ask(Exchange& exchange, bool large) {
         Upstream::Request request;
-        request.message.method(http::verb::post);
-        request.message.target("/deposit");
-        request.message.body() = {body(large)->data(), body(large)->size()};
-        request.message.prepare_payload();
+        request.head =
+            HeadText::request("POST", "/deposit").add("Content-Length", body(large)->size()).whole();
+        request.body = *body(large);
         request.keep = body(large);
         world_.inside([&] {
             exchange.id = upstream_
--- a/tests/integration/bytes_test.cpp
+++ b/tests/integration/bytes_test.cpp
@@ -1276,10 +1276,9 @@
     table.add("a line", "HTTP/1.1 200 OK\r\n", waits, "severed");
     table.add("a head but for its end", full(none + proof).substr(0, full(none + proof).size() - 1), waits,
               "severed");
-    for (const char* status :
-         {"201", "202", "203", "205", "206", "299", "300", "301", "302", "307",
-          "400", "401", "403", "404", "408", "409", "413", "421", "425", "429", "431", "499",
-          "500", "501", "502", "503", "504", "505", "507", "599", "600", "999"})
+    for (const char* status : {"201", "202", "203", "205", "206", "299", "300", "301", "302", "307", "400",
+                               "401", "403", "404", "408", "409", "413", "421", "425", "429", "431", "499",
+                               "500", "501", "502", "503", "504", "505", "507", "599", "600", "999"})
         first("HTTP/1.1 "s + status + " Word", error);
     return table;
 }
@@ -1602,9 +1601,7 @@
 
     ExchangeId start() {
         Upstream::Request request;
-        request.message.method(http::verb::post);
-        request.message.target("/deposit");
-        request.message.prepare_payload();
+        request.head = HeadText::request("POST", "/deposit").add("Content-Length", "0").whole();
         return upstream
             .start(1, std::move(request),
                    [this](Outcome outcome, Upstream::Response response, const Trailers&) {
--- a/tests/integration/hostile_test.cpp
+++ b/tests/integration/hostile_test.cpp
@@ -92,8 +92,7 @@
     std::vector<Outcome> ends;
     const auto send = [&](PoolId pool) {
         Upstream::Request request;
-        request.message.method(http::verb::get);
-        request.message.target("/");
+        request.head = HeadText::request("GET", "/").whole();
         request.pool = pool;
         const auto begun = upstream->start(
             7, std::move(request),
--- a/tests/integration/log_test.cpp
+++ b/tests/integration/log_test.cpp
@@ -117,8 +117,7 @@
     Upstream upstream(io, *log, {});
     upstream.set_server(1, server.endpoint(), 0);
     Upstream::Request ping;
-    ping.message.method(http::verb::get);
-    ping.message.target("/ping");
+    ping.head = HeadText::request("GET", "/ping").whole();
     bool ended = false;
     upstream.start(1, std::move(ping), [&](Outcome, const auto&, const auto&) { ended = true; });
     int failed = 0;
--- a/tests/integration/upstream_test.cpp
+++ b/tests/integration/upstream_test.cpp
@@ -25,10 +25,8 @@
 
     ExchangeId start(const std::shared_ptr<const std::string>& body = std::make_shared<std::string>()) {
         Upstream::Request request;
-        request.message.method(http::verb::post);
-        request.message.target("/deposit");
-        request.message.body() = {body->data(), body->size()};
-        request.message.prepare_payload();
+        request.head = HeadText::request("POST", "/deposit").add("Content-Length", body->size()).whole();
+        request.body = *body;
         request.keep = body;
         request.careful = careful;
         const auto begun =
@@ -350,8 +348,7 @@
     EXPECT_EQ(one(first.endpoint()).outcome, Outcome::completed);
     upstream->set_server(kServer + 1, second.endpoint(), 0);
     Upstream::Request ping;
-    ping.message.method(http::verb::get);
-    ping.message.target("/ping");
+    ping.head = HeadText::request("GET", "/ping").whole();
     upstream->start(kServer + 1, std::move(ping), [](Outcome, const auto&, const auto&) {});
     until([&] { return second.requests.size() == 1 && first.ended() == 1; });
     EXPECT_EQ(upstream->stats().open, 1u);
