A connect that outlasts its server's drain carries no request

Need: rule 3 had a known gap: a connect begun before a drain was told still carried its request when it came up, and connect_timeout may be set longer than the 500 ms that the platform grants. Change: a transport asks attempt_wanted() when a connection that had to be made has come up; the pool says no where the server has been told to drain, or is gone, for more than 250 ms, and the attempt ends as superseded: it never ran, and the module places it elsewhere. Measured: DaemonTest.AConnectThatOutlastsItsServerIsNotUsed (a full backlog, a reload, a SYN tried again after 1 s) fails without it: the request's bytes reach the removed server.

--- a/src/engine/ledger.hpp
+++ b/src/engine/ledger.hpp
@@ -33,6 +33,14 @@
         const auto at = requests_.find(id);
         return at == requests_.end() ? nullptr : &at->second;
     }
+    const OpenRequest* request(RequestId id) const {
+        const auto at = requests_.find(id);
+        return at == requests_.end() ? nullptr : &at->second;
+    }
+    const KnownServer* server(ServerId id) const {
+        const auto at = servers_.find(id);
+        return at == servers_.end() ? nullptr : &at->second;
+    }
     KnownServer* server(ServerId id) {
         const auto at = servers_.find(id);
         return at == servers_.end() ? nullptr : &at->second;
--- a/src/engine/pool.cpp
+++ b/src/engine/pool.cpp
@@ -14,6 +14,9 @@
 
 // Room for so many events at once is there ahead, so that none is lost for want of memory.
 constexpr std::size_t kEvents = 256;
+// A connect that was under way when its server was told to drain still carries its request if it comes up
+// within this: half of what rule 3 grants.
+constexpr Millis kDrainGrace = 250;
 
 template <class... Ts>
 struct Overloaded : Ts... {
@@ -290,6 +293,14 @@
     give(ProbeEnded{probing.server, outcome, engine_.now() - probing.began});
 }
 
+bool Pool::attempt_wanted(Transport::Key key) const {
+    const Book::OpenRequest* const request = ledger_.request(key.request);
+    if (!request || key.attempt >= request->attempts.size() || !request->attempts[key.attempt].out)
+        return false;
+    const Book::KnownServer* const server = ledger_.server(request->attempts[key.attempt].server);
+    return server && (server->off_since < 0 || engine_.now() - server->off_since <= kDrainGrace);
+}
+
 bool Pool::attempt_begun(Transport::Key key) {
     Book::OpenRequest* const request = ledger_.request(key.request);
     if (!request || request->ended || key.attempt >= request->attempts.size()) return false;
@@ -350,6 +361,13 @@
     return info;
 }
 
+void Pool::note_phase(ServerPart& server) const {
+    if (server.info.phase == Phase::on)
+        server.off_since = -1;
+    else if (server.off_since < 0)
+        server.off_since = engine_.now();
+}
+
 // Of a whole list the module hears what it changes: all else keeps its connections and its history.
 void Pool::members(const MemberList& list, bool saved) {
     std::unordered_set<ServerId> named;
@@ -394,6 +412,7 @@
         Book::KnownServer& server = *ledger_.server(id);
         const ServerInfo info = told(id, server);
         const bool same = std::exchange(server.info, info) == info && !server.unheard;
+        note_phase(server);
         if (!same || saved) event.servers.push_back(info);
         server.unheard = false;
     }
@@ -410,6 +429,7 @@
         if (server.machine != machine || !server.listed || server.unheard) continue;
         const ServerInfo info = told(id, server);
         if (std::exchange(server.info, info) != info) event.servers.push_back(info);
+        note_phase(server);
     }
     if (!event.servers.empty()) give(std::move(event));
 }
--- a/src/engine/pool.hpp
+++ b/src/engine/pool.hpp
@@ -110,7 +110,8 @@
         KindId kind = 0;
         Member member{};  // as its source told last
         MachineId machine = 0;
-        bool unheard = true;  // the module has not been told of it
+        bool unheard = true;    // the module has not been told of it
+        Millis off_since = -1;  // told to drain, or gone, since then; -1: neither
     };
     using Book = Ledger<RequestPart, ServerPart>;
     struct Probing {
@@ -135,11 +136,13 @@
     void timer_due(TimerToken token);
     void overtime(RequestId request);
 
+    bool attempt_wanted(Transport::Key key) const override;
     bool attempt_begun(Transport::Key key) override;
     void attempt_ended(Transport::Key key, Outcome outcome, std::unique_ptr<Answer> answer) override;
     void probe_ended(MachineId machine, Outcome outcome) override;
 
     ServerInfo told(ServerId id, const ServerPart& server) const;
+    void note_phase(ServerPart& server) const;
     void retell(MachineId machine);
     void drop_server(ServerId id);
     std::uint32_t number(std::vector<std::string>& names, const std::string& name);
--- a/src/engine/transport.hpp
+++ b/src/engine/transport.hpp
@@ -26,6 +26,10 @@
     // Told on the loop's thread, never from within start() or stop().
     class Listener {
     public:
+        // Asked when a connection that had to be made has come up, just ahead of the request's first byte.
+        // False: its server was told to drain, or is gone, for too long: nothing is written, and the exchange
+        // ends as superseded.
+        virtual bool attempt_wanted(Key key) const = 0;
         // The final answer has begun and would be passed on as it comes. False: it is not wanted any more.
         virtual bool attempt_begun(Key key) = 0;
         // Once for each exchange that began and was not stopped. The answer is there where the outcome is
--- a/src/http/transport.cpp
+++ b/src/http/transport.cpp
@@ -25,6 +25,7 @@
             request.idle = pool->second.idle;
         }
         request.judge = &call;  // kept by request.keep
+        request.wanted = [&listener, key] { return listener.attempt_wanted(key); };
         if (call.whole_up_to() > 0)
             request.pass_on = [&call, &listener, key](Upstream::Response head,
                                                       std::optional<std::uint64_t> length) {
--- a/src/http/upstream.cpp
+++ b/src/http/upstream.cpp
@@ -71,6 +71,8 @@
             error_code ignored;
             self->socket_.set_option(Tcp::no_delay(true), ignored);
             self->socket_.non_blocking(true, ignored);
+            if (self->exchange_->request.wanted && !self->exchange_->request.wanted())
+                return self->fail(Outcome::superseded);
             self->wait_readable();
             self->write();
         });
--- a/src/http/upstream.hpp
+++ b/src/http/upstream.hpp
@@ -65,6 +65,8 @@
     protected:
         ~Judge() = default;
     };
+    // Asked where a connection had to be made, just ahead of the first byte; false: it ends as superseded.
+    using Wanted = std::function<bool()>;
     // The answer is passed on as it comes: where to, or null if nobody wants it. `length`: of its body, where
     // the head tells it.
     using PassOn = std::function<std::shared_ptr<Stream>(Response head, std::optional<std::uint64_t> length)>;
@@ -80,6 +82,7 @@
         bool chunked = false;
         Trailers trailers{};  // of a chunked body that is whole
         PassOn pass_on{};
+        Wanted wanted{};
         // It must not be given another's answer: it goes on a fresh connection, or on one shown to be clean
         // as far as that can be (Limits::settle_careful).
         bool careful = false;
--- a/tests/integration/daemon_test.cpp
+++ b/tests/integration/daemon_test.cpp
@@ -353,6 +353,52 @@
 // ---- Reloads
 // -----------------------------------------------------------------------------------------------------
 
+// A server whose backlog drops what comes: the connect outlasts its removal by a reload, and nothing is sent.
+TEST_F(DaemonTest, AConnectThatOutlastsItsServerIsNotUsed) {
+    Tcp::acceptor deaf(io, Tcp::v4());
+    deaf.bind(any_port);
+    deaf.listen(0);
+    std::list<Tcp::socket> filling, accepted;
+    for (int i = 0; i < 4; ++i) {
+        filling.emplace_back(io, Tcp::v4());
+        filling.back().async_connect(deaf.local_endpoint(), [](error_code) {});
+    }
+    rest(20);
+    const std::string at = "127.0.0.1:" + std::to_string(deaf.local_endpoint().port());
+    const std::string how = "connect_timeout = \"5s\"\n", handling = "timeout = \"6s\"";
+    const auto file = [&](const std::string& server) {
+        return listener_ + pool("archive", {server}, how) +
+               route("archive", "/archive", "pool = \"archive\"", handling);
+    };
+    start(file(at));
+    TestClient& c = client();
+    c.send(post("/archive", "x"));
+    until([&] { return open() == 1 && connections("archive") == 1; });
+    reload(file(b.address()));
+    rest(600);
+    // Its backlog has room again: the kernel's next try comes through.
+    std::size_t bytes = 0;
+    std::vector<std::shared_ptr<std::array<char, 4096>>> buffers;
+    std::function<void()> accept = [&] {
+        deaf.async_accept([&](error_code failed, Tcp::socket socket) {
+            if (failed) return;
+            accepted.push_back(std::move(socket));
+            buffers.push_back(std::make_shared<std::array<char, 4096>>());
+            accepted.back().async_read_some(
+                asio::buffer(*buffers.back()),
+                [&, keep = buffers.back()](error_code, std::size_t size) { bytes += size; });
+            accept();
+        });
+    };
+    accept();
+    answered(c, 200);
+    EXPECT_EQ(b.requests.size(), 1u) << "it never ran, so it went elsewhere";
+    EXPECT_EQ(bytes, 0u);
+    deaf.close();
+    accepted.clear();
+    rest();
+}
+
 TEST_F(DaemonTest, AReloadThatIsWrongChangesNothing) {
     const std::string process = "[process]\ndescriptors = 100\n";
     const std::string services = two("archive", {a.address()}, {b.address()});
--- a/tests/integration/upstream_test.cpp
+++ b/tests/integration/upstream_test.cpp
@@ -186,6 +186,34 @@
     EXPECT_EQ(upstream->stats().open, 0u);
 }
 
+// Asked once, when a connection has come up; on one that is there already nothing is asked.
+TEST_F(UpstreamTest, AConnectionThatComesUpUnwantedCarriesNothing) {
+    ScriptedServer server(io, [](const auto&) { return Reply{response("200 OK")}; });
+    upstream->set_server(kServer, server.endpoint(), 0);
+    int asked = 0;
+    bool wanted = false;
+    std::vector<Outcome> outcomes;
+    const auto send = [&] {
+        Upstream::Request request;
+        request.head = HeadText::request("POST", "/deposit").add("Content-Length", "0").whole();
+        request.wanted = [&] { return ++asked, wanted; };
+        upstream->start(kServer, std::move(request),
+                        [&](Outcome outcome, const auto&, const auto&) { outcomes.push_back(outcome); });
+    };
+    send();
+    until([&] { return outcomes.size() == 1; });
+    EXPECT_EQ(outcomes[0], Outcome::superseded);
+    EXPECT_EQ(server.requests.size(), 0u);
+    wanted = true;
+    send();
+    until([&] { return outcomes.size() == 2; });
+    send();
+    until([&] { return outcomes.size() == 3; });
+    EXPECT_EQ(outcomes[2], Outcome::completed);
+    EXPECT_EQ(asked, 2);
+    EXPECT_EQ(server.requests.size(), 2u);
+}
+
 // Broken before the last byte was written: it can't have run, and an unsafe request may go elsewhere.
 TEST_F(UpstreamTest, AConnectionThatBreaksWithinTheRequestProvesThatItNeverRan) {
     Tcp::acceptor acceptor(io, any_port);
--- a/tests/unit/engine_test.cpp
+++ b/tests/unit/engine_test.cpp
@@ -197,6 +197,44 @@
 // ---- Pools that come, go and change
 // -------------------------------------------------------------------------------
 
+// Rule 3: the request has not gone to it yet, so it is a new one to it.
+TEST_F(EngineRig, AConnectThatOutlastsItsServersDrainCarriesNothing) {
+    Pool& p = pool("p", {member("s-1", "10.0.0.1:1")});
+    const auto call = take(p, 1, 5000);
+    const ExchangeId id = out_of(call);
+    ASSERT_NE(id, 0u);
+    const auto wanted = [&] {
+        const auto& out = transport.out.at(id);
+        return out.listener->attempt_wanted(out.key);
+    };
+    EXPECT_TRUE(wanted());
+    p.members({2, false, {member("s-1", "10.0.0.1:1", Phase::fading)}});
+    pass(200);
+    EXPECT_TRUE(wanted()) << "it may still be on its way";
+    pass(100);
+    EXPECT_FALSE(wanted());
+    p.members({3, false, {member("s-1", "10.0.0.1:1", Phase::off)}});
+    EXPECT_FALSE(wanted()) << "gone is no second start";
+    p.members({4, false, {member("s-1", "10.0.0.1:1")}});
+    EXPECT_TRUE(wanted()) << "the drain was taken back";
+    p.members({5, true, {}});
+    pass(300);
+    EXPECT_FALSE(wanted());
+    transport.end(id, Outcome::superseded);
+    EXPECT_NE(call->end, End::served);
+    EXPECT_NE(call->end, End::failed) << "it never ran, so a refusal is due";
+}
+
+TEST_F(EngineRig, ADrainToldByAnotherPoolEndsAConnectToo) {
+    Pool& p = pool("p", {member("s-1", "10.0.0.1:1")});
+    Pool& q = pool("q", {member("t-1", "10.0.0.1:1")});
+    const ExchangeId id = out_of(take(p, 1, 5000));
+    const auto& out = transport.out.at(id);
+    q.members({2, false, {member("t-1", "10.0.0.1:1", Phase::fading)}});
+    pass(300);
+    EXPECT_FALSE(out.listener->attempt_wanted(out.key));
+}
+
 TEST_F(EngineRig, APoolThatIsRemovedFinishesWhatItHasAndSendsNothingNew) {
     Pool& a = pool("a", {member("s", "10.0.0.1:1"), member("t", "10.0.0.2:1")});
     const auto unsafe = take(a, kUnsafe, 2000), safe = take(a, kSafe, 2000), lost = take(a, kSafe, 2000);
