Listeners change profile or swap addresses on reload; one interface for all listeners

Need: a listener that changed its profile, or two that swapped addresses, could not be reloaded: the address was in use by the one that was to go. Listeners of further protocols need one seam. Change: a new listener takes over the socket of the one that it replaces (Door::Listen), so nobody is turned away; Door, admission and the Listener interface are a folder of their own (src/listen), without HTTP.

--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -195,7 +195,8 @@
         Entrance& entrance = *entrances_.find(l.name)->second;
         entrance.config = l;
         entrance.index = i;
-        if (entrance.web) entrance.web->change({l.name, i, {}, 0, l.head_timeout, l.idle_timeout, l.via});
+        if (auto* const web = dynamic_cast<Web*>(entrance.listener.get()))
+            web->change({l.name, i, {}, 0, l.head_timeout, l.idle_timeout, l.via});
         staying.insert(entrances_.extract(l.name));
     }
     std::swap(entrances_, staying);
@@ -279,6 +280,14 @@
 #endif
 }
 
+// Where another listener is at that address, which a reload replaces, its socket: nobody is turned away
+// meanwhile.
+Door::Listen Daemon::listen_at(const Tcp::endpoint& address) const {
+    for (const auto& [name, e] : entrances_)
+        if (e->listener->address() == address && !e->listener->door().shut()) return e->listener->door();
+    return address;
+}
+
 std::unique_ptr<Daemon::Entrance> Daemon::open(const config::Listener& listener, std::size_t index,
                                                std::size_t descriptors) {
     auto entrance = std::make_unique<Entrance>();
@@ -292,15 +301,15 @@
     const Door::Budget budget{[this, name = listener.name] { return descriptors_.enter(name); },
                               [this, name = listener.name] { descriptors_.leave(name); }};
     try {
-        const auto address = endpoint_of<Tcp>(listener.address);
+        const Door::Listen address = listen_at(endpoint_of<Tcp>(listener.address));
         if (listener.profile == config::Listener::Profile::platform)
-            e.front = std::make_unique<Front>(
+            e.listener = std::make_unique<Front>(
                 io_, address, places,
                 Front::Callbacks{[this, &e](const auto& head) { return place(e, head); },
                                  [this, &e](const std::string& pool) { return admit(e, pool); }, over, log},
                 budget);
         else
-            e.web = std::make_unique<Web>(
+            e.listener = std::make_unique<Web>(
                 io_,
                 Web::Options{listener.name, index, address, places, listener.head_timeout,
                              listener.idle_timeout, listener.via},
@@ -403,7 +412,7 @@
 void Daemon::retire(std::unique_ptr<Entrance> entrance) {
     leaving_.push_back(std::move(entrance));
     Entrance& e = *leaving_.back();
-    e.web ? e.web->stop_accepting() : e.front->stop_accepting();
+    e.listener->stop_accepting();
 }
 
 void Daemon::drained(Entrance& entrance) {
@@ -421,7 +430,7 @@
     if (draining_) return;
     draining_ = true;
     drained_ = std::move(done);
-    for (auto& [name, e] : entrances_) e->web ? e->web->drain(kAccepting) : e->front->drain(kAccepting);
+    for (auto& [name, e] : entrances_) e->listener->drain(kAccepting);
     if (entrances_.empty() && leaving_.empty()) return asio::post(io_, std::exchange(drained_, nullptr));
     drain_timer_.expires_after(span(config_.drain));
     drain_timer_.async_wait([this](boost::system::error_code cancelled) {
@@ -432,19 +441,18 @@
 void Daemon::hurry() {
     if (!draining_) return;
     engine_.hurry();
-    for (auto& [name, e] : entrances_) e->web ? e->web->hurry() : e->front->hurry();
-    for (auto& e : leaving_) e->web ? e->web->hurry() : e->front->hurry();
+    for (auto& [name, e] : entrances_) e->listener->hurry();
+    for (auto& e : leaving_) e->listener->hurry();
 }
 
 Door::Tcp::endpoint Daemon::address(const std::string& listener) const {
-    const Entrance& e = *entrances_.at(listener);
-    return e.web ? e.web->address() : e.front->address();
+    return entrances_.at(listener)->listener->address();
 }
 
 std::size_t Daemon::clients() const {
     std::size_t clients = 0;
-    for (const auto& [name, e] : entrances_) clients += e->web ? e->web->clients() : e->front->clients();
-    for (const auto& e : leaving_) clients += e->web ? e->web->clients() : e->front->clients();
+    for (const auto& [name, e] : entrances_) clients += e->listener->clients();
+    for (const auto& e : leaving_) clients += e->listener->clients();
     return clients;
 }
 
--- a/src/app/daemon.hpp
+++ b/src/app/daemon.hpp
@@ -69,8 +69,7 @@
     struct Entrance {
         config::Listener config;
         std::size_t index = 0;
-        std::unique_ptr<Web> web;
-        std::unique_ptr<Front> front;
+        std::unique_ptr<Listener> listener;
         limits::Member member;
         bool drained = false;
     };
@@ -81,6 +80,7 @@
     void apply(config::Services services);
     std::unique_ptr<Entrance> open(const config::Listener& listener, std::size_t index,
                                    std::size_t descriptors);
+    Door::Listen listen_at(const Door::Tcp::endpoint& address) const;
     Service start(const config::Pool& pool);
     void remove(Service& service);
     std::unique_ptr<MemberSource> source_of(const config::Pool& pool, Pool& of);
--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -471,7 +471,7 @@
     });
 }
 
-Front::Front(asio::io_context& io, const Tcp::endpoint& listen, std::size_t clients, Callbacks callbacks,
+Front::Front(asio::io_context& io, const Door::Listen& listen, std::size_t clients, Callbacks callbacks,
              Door::Budget budget)
     : callbacks_(std::move(callbacks)),
       door_(
--- a/src/http/front.hpp
+++ b/src/http/front.hpp
@@ -11,14 +11,14 @@
 #include <unordered_set>
 
 #include "engine/pool.hpp"
-#include "http/admission.hpp"
 #include "http/call.hpp"
-#include "http/door.hpp"
+#include "listen/admission.hpp"
+#include "listen/listener.hpp"
 #include "site/site.hpp"
 
 namespace whinledge {
 
-class Front {
+class Front final : public Listener {
 public:
     using Tcp = Door::Tcp;
     using Message = boost::beast::http::request<boost::beast::http::string_body>;
@@ -41,17 +41,11 @@
     };
 
     // Listens at once; throws boost::system::system_error where it can't. `clients`: connections at once.
-    Front(boost::asio::io_context& io, const Tcp::endpoint& listen, std::size_t clients, Callbacks callbacks,
+    Front(boost::asio::io_context& io, const Door::Listen& listen, std::size_t clients, Callbacks callbacks,
           Door::Budget budget = {});
 
-    // Goes on taking requests for that long (milliseconds), closing each connection with its answer; then
-    // refuses what is still being read and finishes what it has taken.
-    void drain(Millis accepting) { door_.drain(accepting); }
-    // Ends that time now.
-    void stop_accepting() { door_.stop_accepting(); }
-    void hurry() { door_.hurry(); }
-    Tcp::endpoint address() const { return door_.address(); }
-    std::size_t clients() const { return door_.guests(); }
+    Door& door() override { return door_; }
+    using Listener::door;
 
 private:
     class Client;
--- a/src/http/web.hpp
+++ b/src/http/web.hpp
@@ -12,9 +12,9 @@
 #include <vector>
 
 #include "engine/pool.hpp"
-#include "http/admission.hpp"
 #include "http/call.hpp"
-#include "http/door.hpp"
+#include "listen/admission.hpp"
+#include "listen/listener.hpp"
 #include "route/table.hpp"
 
 namespace whinledge {
@@ -25,13 +25,13 @@
     std::vector<std::string> pools;
 };
 
-class Web {
+class Web final : public Listener {
 public:
     using Tcp = Door::Tcp;
     struct Options {
         std::string name;
         std::size_t index = 0;  // of the listener, in the table
-        Tcp::endpoint listen;
+        Door::Listen listen;
         std::size_t places = 1000;  // connections at once
         Millis head_timeout = 2500, idle_timeout = 60000;
         std::string via = "whinledge";
@@ -54,12 +54,8 @@
     Web(boost::asio::io_context& io, Options options, Callbacks callbacks, Door::Budget budget = {});
 
     const std::string& name() const { return options_.name; }
-    Tcp::endpoint address() const { return door_.address(); }
-    std::size_t clients() const { return door_.guests(); }
-    // Takes new requests for that long, then finishes what it has.
-    void drain(Millis accepting) { door_.drain(accepting); }
-    void stop_accepting() { door_.stop_accepting(); }
-    void hurry() { door_.hurry(); }
+    Door& door() override { return door_; }
+    using Listener::door;
     // Of a reload: what can change while it listens.
     void change(const Options& options);
 
--- a/src/http/door.cpp
+++ b/src/listen/door.cpp
@@ -1,6 +1,7 @@
-#include "http/door.hpp"
+#include "listen/door.hpp"
 
 #include <netinet/tcp.h>
+#include <unistd.h>
 
 #include <boost/asio/post.hpp>
 #include <utility>
@@ -105,10 +106,25 @@
 // ---- The door
 // ---------------------------------------------------------------------------------------------------
 
-Door::Door(asio::io_context& io, const Tcp::endpoint& listen, std::size_t places, Make make,
+Door::Tcp::acceptor Door::listening(asio::io_context& io, const Listen& listen) {
+    if (!listen.predecessor) return {io, listen.address, true};
+    const int shared = ::dup(const_cast<Tcp::acceptor&>(listen.predecessor->acceptor_).native_handle());
+    if (shared < 0) throw boost::system::system_error(errno, boost::system::system_category());
+    return {io, listen.address.protocol(), shared};
+}
+
+// Not closed as it is: while another door listens on the same socket, the loop would go on hearing of it
+// here.
+void Door::shut_acceptor() {
+    error_code failed;
+    const int socket = acceptor_.release(failed);
+    if (!failed) ::close(socket);
+}
+
+Door::Door(asio::io_context& io, const Listen& listen, std::size_t places, Make make,
            std::function<void()> drained, std::function<void(const std::string&)> log, Budget budget)
     : io_(io),
-      acceptor_(io, listen, true),
+      acceptor_(listening(io, listen)),
       address_(acceptor_.local_endpoint()),
       make_(std::move(make)),
       drained_(std::move(drained)),
@@ -126,6 +142,7 @@
 
 Door::~Door() {
     drained_ = nullptr;
+    if (acceptor_.is_open()) shut_acceptor();
     if (std::exchange(accepting_, false) && budget_.leave) budget_.leave();
     for (const auto& [id, guest] : std::exchange(guests_, {})) guest->close();
     if (accepting_ && budget_.leave) budget_.leave();  // what was asked for ahead
@@ -269,9 +286,8 @@
         if (!failed && budget_.enter && !budget_.enter()) continue;  // nobody waits for it any more
         if (!failed) accepted(std::move(socket));
     }
-    error_code ignored;
     if (std::exchange(accepting_, false) && budget_.leave) budget_.leave();
-    acceptor_.close(ignored);
+    shut_acceptor();
     for (const GuestPtr& guest : all())
         if (!guest->finishing_) guest->last_chance();
     last_writes();
--- a/src/http/door.hpp
+++ b/src/listen/door.hpp
@@ -88,9 +88,19 @@
         std::function<void()> leave;
     };
 
+    // Where to listen: an address, or the socket of another door, which goes on listening until it stops
+    // accepting.
+    struct Listen {
+        Listen() = default;
+        Listen(const Tcp::endpoint& at) : address(at) {}
+        Listen(const Door& door) : address(door.address_), predecessor(&door) {}
+        Tcp::endpoint address;
+        const Door* predecessor = nullptr;  // asked in the constructor alone
+    };
+
     // Listens at once; throws boost::system::system_error where it can't. `drained` is called once, after a
     // drain, when no guest is left or the last answers have had their time.
-    Door(boost::asio::io_context& io, const Tcp::endpoint& listen, std::size_t places, Make make,
+    Door(boost::asio::io_context& io, const Listen& listen, std::size_t places, Make make,
          std::function<void()> drained, std::function<void(const std::string&)> log, Budget budget = {});
     ~Door();
 
@@ -121,6 +131,8 @@
     bool shut() const { return !acceptor_.is_open(); }
 
 private:
+    static Tcp::acceptor listening(boost::asio::io_context& io, const Listen& listen);
+    void shut_acceptor();
     void accept();
     void pause();
     void accepted(Tcp::socket socket);
--- a/tests/integration/daemon_test.cpp
+++ b/tests/integration/daemon_test.cpp
@@ -487,6 +487,61 @@
     EXPECT_EQ(ask(get("/archive")).result_int(), 200u) << "the other one stays";
 }
 
+// Its socket goes on from one listener to the other: nobody is turned away, and what was begun is finished.
+TEST_F(DaemonTest, AListenerChangesItsProfileUnderARequest) {
+    const std::string rest_of_it = pool("archive", {a.address()}) + route("all", "/", "pool = \"archive\"");
+    start(listener() + rest_of_it);
+    a.script = silence;
+    TestClient& before = under_way(post("/x", "x"), a);
+    reload(listener("profile = \"platform\"\n") + rest_of_it);
+    EXPECT_EQ(ask(get("/_health")).result_int(), 200u) << "the platform's own";
+    EXPECT_EQ(ask(get("/x")).result_int(), 400u) << "no request of the platform's";
+    a.send(0, response("200 OK", "late"));
+    answered(before, 200, "late");
+    a.script = echo;
+    reload(listener() + rest_of_it);
+    EXPECT_EQ(ask(get("/x")).result_int(), 200u);
+}
+
+TEST_F(DaemonTest, TwoListenersSwapTheirAddresses) {
+    const std::string other = free_address();
+    const auto file = [&](const std::string& one, const std::string& two) {
+        return "[[listener]]\nname = \"one\"\naddress = \"" + one +
+               "\"\n[[listener]]\nname = \"two\"\naddress = \"" + two + "\"\n" +
+               pool("archive", {a.address()}) + pool("search", {b.address()}) +
+               route("one", "/", "listeners = [\"one\"]\npool = \"archive\"") +
+               route("two", "/", "listeners = [\"two\"]\npool = \"search\"");
+    };
+    start(file(listen, other));
+    const auto first = daemon->address("one"), second = daemon->address("two");
+    const auto served_at = [&](const Tcp::endpoint& at) {
+        const std::size_t before = a.requests.size();
+        TestClient& c = clients.emplace_back(io, at);
+        c.send(get("/x"));
+        answered(c, 200);
+        return a.requests.size() > before ? "archive" : "search";
+    };
+    EXPECT_STREQ(served_at(first), "archive");
+    for (int i = 0; i < 5; ++i) {
+        reload(file(other, listen));
+        EXPECT_EQ(daemon->address("one"), second);
+        EXPECT_STREQ(served_at(first), "search");
+        EXPECT_STREQ(served_at(second), "archive");
+        reload(file(listen, other));
+        EXPECT_STREQ(served_at(first), "archive");
+        EXPECT_STREQ(served_at(second), "search");
+    }
+    // One that fails leaves both as they are.
+    EXPECT_NE(
+        refused("[[listener]]\nname = \"taken\"\naddress = \"" + c.address() + "\"\n" + file(other, listen)),
+        "");
+    EXPECT_NE(
+        refused(file(other, listen) + "[[listener]]\nname = \"taken\"\naddress = \"" + c.address() + "\"\n"),
+        "");
+    EXPECT_STREQ(served_at(first), "archive");
+    EXPECT_STREQ(served_at(second), "search");
+}
+
 TEST_F(DaemonTest, TenThousandRoutesAreReplacedUnderLoad) {
     constexpr int kRoutes = 10000, kClients = 8, kReloads = 3;
     const config::Services base =
