LDAP: codec over liblber, listener, transport, and two ways of being somebody

Need: lookups of contributor accounts go over LDAP past the daemon; a frozen directory host stalls uploads unseen. Change: src/ldap_codec (framing, checks and mapping of fields over liblber; names, routes, classes and what results mean; no I/O), src/ldap (listener, connections to servers, TLS over buffers in memory), LDAP's part of the services file. Clients bind on connections of their own, or operations say whose they are on the service's connections (RFC 4370). The module knows requests that are bound to one server; a transport may wait with a request's first byte until it is still wanted; a server's own notice drains it.

--- a/include/kestrelhall/balancer.hpp
+++ b/include/kestrelhall/balancer.hpp
@@ -108,6 +108,9 @@
     Millis effort = 0;              // expected work, 0 if not known
     bool repeat = false;            // known to be the client's retry
     std::uint32_t tenant = ~0U;     // into Settings::tenant_shares; out of range: none
+    // The server that keeps what the request needs (a session): it goes there alone, and is refused at once
+    // where that one takes nothing new. 0: anywhere.
+    ServerId bound_to = 0;
 };
 struct FirstByte {  // a streamed answer has begun; the attempt belongs to the client from here on
     RequestId id = 0;
--- a/src/app/budgets.hpp
+++ b/src/app/budgets.hpp
@@ -7,7 +7,7 @@
 #include <utility>
 #include <vector>
 
-#include "http/upstream.hpp"
+#include "io/connection_budget.hpp"
 #include "limits/shares.hpp"
 
 namespace whinledge {
--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -27,6 +27,7 @@
 
 constexpr Millis kSettle = 3, kSettleCareful = 250;  // as in the platform's sidecar
 constexpr Millis kAccepting = 500;                   // of a drain
+constexpr Millis kNoticeHold = 5000;                 // a server that gave notice gets nothing for so long
 constexpr std::size_t kOtherDescriptors = 32;        // listeners, sources, files, the log
 
 std::uint64_t entropy() {
@@ -106,12 +107,16 @@
     : io_(io),
       options_(std::move(options)),
       log_(options_.log ? *options_.log : own_log_),
-      descriptors_(
-          services.descriptors,
-          [this](PoolId pool, std::size_t count) { transport_.upstream().close_idle_of(pool, count); }),
+      descriptors_(services.descriptors,
+                   [this](PoolId pool, std::size_t count) {
+                       const std::size_t closed = transport_.upstream().close_idle_of(pool, count);
+                       if (directory_ && closed < count) directory_->close_idle_of(pool, count - closed);
+                   }),
       gate_(services.requests, services.bytes),
       wake_(io, clock_, [this] { engine_.run_due(); }),
       transport_(io, log_, {250, 14000, services.descriptors, kSettle, kSettleCareful}, &descriptors_),
+      directory_(make_directory(io, log_, descriptors_,
+                                [this](MachineId machine) { engine_.notice(machine, kNoticeHold); })),
       engine_(clock_,
               {[this](Millis at) { wake_.at(at); }, [this](const std::string& text) { log_.line(text); }}),
       random_state_(services.seed ? *services.seed : entropy()),
@@ -145,6 +150,7 @@
 // First all that may fail, then what changes.
 void Daemon::apply(config::Services services) {
     auto routing = compile(services, options_.regexes, log_);
+    const auto plan = directory_ ? directory_->plan(services) : nullptr;
     const config::Difference difference = config::difference(config_, services);
     const auto change_of = [](const std::vector<config::Changed>& list, const std::string& name) {
         const auto at = std::find_if(list.begin(), list.end(), [&](const auto& c) { return c.name == name; });
@@ -158,10 +164,11 @@
     Bounds bounds;
     try {
         for (const config::Pool& pool : services.pools)
-            if (is_new(change_of(difference.pools, pool.name))) fresh.emplace(pool.name, start(pool));
+            if (is_new(change_of(difference.pools, pool.name)))
+                fresh.emplace(pool.name, start(pool, plan.get()));
         for (std::size_t i = 0; i < services.listeners.size(); ++i)
             if (const auto& l = services.listeners[i]; is_new(change_of(difference.listeners, l.name)))
-                opened.emplace(l.name, open(l, i, services.descriptors));
+                opened.emplace(l.name, open(l, i, services.descriptors, plan.get()));
         bounds = bound(services, fresh);
     } catch (...) {
         for (auto& [name, service] : fresh) remove(service);
@@ -178,7 +185,7 @@
         if (auto* const list = dynamic_cast<StaticList*>(service.source.get()); list)
             list->replace(pool.source.members);
         service.config = pool;
-        transport_.set_pool(service.pool->id(), {pool.connect_timeout, pool.idle_close});
+        set_pool(service, plan.get());
         kept.insert(services_.extract(pool.name));
     }
     std::swap(services_, kept);
@@ -197,6 +204,7 @@
         entrance.index = i;
         if (auto* const web = dynamic_cast<Web*>(entrance.listener.get()))
             web->change({l.name, i, {}, 0, l.head_timeout, l.idle_timeout, l.via});
+        if (l.profile == config::Listener::Profile::ldap) directory_->change(*plan, *entrance.listener, l, i);
         staying.insert(entrances_.extract(l.name));
     }
     std::swap(entrances_, staying);
@@ -206,6 +214,8 @@
     for (std::size_t i = 0; i < services.listeners.size(); ++i)
         entrances_.find(services.listeners[i].name)->second->member = bounds.listeners[i];
     routing_ = std::move(routing);
+    plan_ = plan;
+    if (directory_) directory_->adopt(plan);
     config_ = std::move(services);
     for (auto& [name, service] : services_)
         if (service.source && is_new(change_of(difference.pools, name))) service.source->start();
@@ -213,11 +223,21 @@
 
 void Daemon::remove(Service& service) {
     service.source.reset();
-    transport_.forget_pool(service.pool->id());  // it sends nothing new
+    // It sends nothing new.
+    service.config.is_ldap ? directory_->forget_pool(service.pool->id())
+                           : transport_.forget_pool(service.pool->id());
     engine_.remove_pool(*service.pool);
 }
 
-Daemon::Service Daemon::start(const config::Pool& pool) {
+void Daemon::set_pool(const Service& service, const Directory::Plan* plan) {
+    const config::Pool& pool = service.config;
+    if (pool.is_ldap)
+        directory_->set_pool(*plan, service.pool->id(), pool);
+    else
+        transport_.set_pool(service.pool->id(), {pool.connect_timeout, pool.idle_close});
+}
+
+Daemon::Service Daemon::start(const config::Pool& pool, const Directory::Plan* plan) {
     Service service;
     service.config = pool;
     Pool::Options options;
@@ -234,8 +254,9 @@
         if (at != services_.end() && at->second.source) at->second.source->fetch();
     };
     outside.log = [this, name = pool.name](const std::string& text) { log_.line(name + ": " + text); };
-    service.pool = &engine_.add_pool(std::move(options), transport_, options_.observer, std::move(outside));
-    transport_.set_pool(service.pool->id(), {pool.connect_timeout, pool.idle_close});
+    Transport& transport = pool.is_ldap ? directory_->transport() : transport_;
+    service.pool = &engine_.add_pool(std::move(options), transport, options_.observer, std::move(outside));
+    set_pool(service, plan);
     service.site = std::make_unique<Site>();
     service.site->settings = pool.decisions;
     service.site->classes = pool.class_names;
@@ -289,7 +310,7 @@
 }
 
 std::unique_ptr<Daemon::Entrance> Daemon::open(const config::Listener& listener, std::size_t index,
-                                               std::size_t descriptors) {
+                                               std::size_t descriptors, const Directory::Plan* plan) {
     auto entrance = std::make_unique<Entrance>();
     Entrance& e = *entrance;
     e.config = listener;
@@ -302,7 +323,9 @@
                               [this, name = listener.name] { descriptors_.leave(name); }};
     try {
         const Door::Listen address = listen_at(endpoint_of<Tcp>(listener.address));
-        if (listener.profile == config::Listener::Profile::platform)
+        if (listener.profile == config::Listener::Profile::ldap)
+            e.listener = open_ldap(e, address, places, budget, *plan);
+        else if (listener.profile == config::Listener::Profile::platform)
             e.listener = std::make_unique<Front>(
                 io_, address, places,
                 Front::Callbacks{[this, &e](const auto& head) { return place(e, head); },
@@ -330,6 +353,19 @@
     return entrance;
 }
 
+std::unique_ptr<Listener> Daemon::open_ldap(Entrance& e, const Door::Listen& listen, std::size_t places,
+                                            const Door::Budget& budget, const Directory::Plan& plan) {
+    Directory::Callbacks callbacks{
+        [this](std::string_view name) {
+            const auto at = services_.find(name);
+            return at == services_.end() ? Directory::PoolView{}
+                                         : Directory::PoolView{at->second.pool, &at->second.config};
+        },
+        [this, &e](const std::string& pool) { return admit(e, pool); }, [this, &e] { drained(e); },
+        [this](const std::string& text) { log_.line(text); }};
+    return directory_->open(plan, e.config, e.index, listen, places, std::move(callbacks), budget);
+}
+
 // Throws where the guarantees don't fit; then nothing has changed.
 Daemon::Bounds Daemon::bound(const config::Services& services, const Services& fresh) {
     std::vector<limits::Gate::Wanted> listeners, pools;
--- a/src/app/daemon.hpp
+++ b/src/app/daemon.hpp
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "app/budgets.hpp"
+#include "app/directory.hpp"
 #include "config/services.hpp"
 #include "engine/engine.hpp"
 #include "http/front.hpp"
@@ -79,9 +80,12 @@
 
     void apply(config::Services services);
     std::unique_ptr<Entrance> open(const config::Listener& listener, std::size_t index,
-                                   std::size_t descriptors);
+                                   std::size_t descriptors, const Directory::Plan* plan);
+    std::unique_ptr<Listener> open_ldap(Entrance& entrance, const Door::Listen& listen, std::size_t places,
+                                        const Door::Budget& budget, const Directory::Plan& plan);
     Door::Listen listen_at(const Door::Tcp::endpoint& address) const;
-    Service start(const config::Pool& pool);
+    Service start(const config::Pool& pool, const Directory::Plan* plan);
+    void set_pool(const Service& service, const Directory::Plan* plan);
     void remove(Service& service);
     std::unique_ptr<MemberSource> source_of(const config::Pool& pool, Pool& of);
     Bounds bound(const config::Services& services, const Services& fresh);
@@ -102,9 +106,11 @@
     limits::Gate gate_;
     Wake wake_;
     HttpTransport transport_;
+    std::unique_ptr<Directory> directory_;  // null: LDAP is not built in
     Engine engine_;
     std::uint64_t random_state_;
     std::shared_ptr<const Routing> routing_;
+    std::shared_ptr<const Directory::Plan> plan_;  // null without directory_
     Services services_;
     Entrances entrances_;
     std::list<std::unique_ptr<Entrance>> leaving_;
--- a/src/config/diff.cpp
+++ b/src/config/diff.cpp
@@ -32,6 +32,7 @@
         .key("head_timeout", a.head_timeout == b.head_timeout, Change::in_place)
         .key("idle_timeout", a.idle_timeout == b.idle_timeout, Change::in_place)
         .key("via", a.via == b.via, Change::in_place)
+        .key("ldap", a.ldap == b.ldap, Change::in_place)
         .result();
 }
 
@@ -61,6 +62,8 @@
         .key("decisions", same(without_classes(a.decisions), without_classes(b.decisions)), Change::replaced)
         .key("members", without_members(a.source) == without_members(b.source), Change::replaced)
         .key("members.list", by_id(a.source.members) == by_id(b.source.members), Change::in_place)
+        .key("protocol", a.is_ldap == b.is_ldap, Change::replaced)
+        .key("ldap", a.ldap == b.ldap, Change::replaced)
         .key("limits", a.limits == b.limits, Change::in_place)
         .key("connect_timeout", a.connect_timeout == b.connect_timeout, Change::in_place)
         .key("idle_close", a.idle_close == b.idle_close, Change::in_place)
@@ -89,6 +92,12 @@
     std::unordered_map<std::string_view, const T*> found_;
 };
 
+Changed compare(const ldap::Route& a, const ldap::Route& b) {
+    ldap::Route there = b;
+    there.origin = a.origin;
+    return Comparison(a.name).key("ldap_route", a == there, Change::in_place).result();
+}
+
 template <class T>
 std::vector<Changed> compare_all(const std::vector<T>& before, const std::vector<T>& after) {
     std::vector<Changed> all;
@@ -157,7 +166,9 @@
 
 }  // namespace
 
-bool Difference::routes_changed() const { return routes_reordered || !all_unchanged(routes); }
+bool Difference::routes_changed() const {
+    return routes_reordered || !all_unchanged(routes) || !all_unchanged(ldap_routes);
+}
 bool Difference::empty() const {
     return process.empty() && all_unchanged(listeners) && all_unchanged(pools) && !routes_changed();
 }
@@ -168,6 +179,7 @@
     found.listeners = compare_all(before.listeners, after.listeners);
     found.pools = compare_all(before.pools, after.pools);
     found.routes = compare_all(before.routes, after.routes);
+    found.ldap_routes = compare_all(before.ldap_routes, after.ldap_routes);
     found.routes_reordered = common(before.routes, after.routes) != common(after.routes, before.routes);
     return found;
 }
@@ -178,6 +190,7 @@
     describe_all("listener", d.listeners, lines);
     describe_all("pool", d.pools, lines);
     describe_all("route", d.routes, lines);
+    describe_all("ldap_route", d.ldap_routes, lines);
     if (d.routes_reordered) lines.push_back("routes: in another order");
     return lines;
 }
--- a/src/config/diff.hpp
+++ b/src/config/diff.hpp
@@ -26,7 +26,8 @@
 struct Difference {
     std::vector<std::string> process;  // its keys that differ
     std::vector<Changed> listeners,
-        pools;                      // in the order of the new file, then those removed in the old one's
+        pools;  // in the order of the new file, then those removed in the old one's
+    std::vector<Changed> ldap_routes;
     std::vector<Changed> routes;    // routes hold nothing: they are in_place where they differ
     bool routes_reordered = false;  // which can change who wins among equals
     bool routes_changed() const;
--- a/src/config/draft.hpp
+++ b/src/config/draft.hpp
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -22,9 +23,15 @@
     std::map<std::string, std::optional<Listener::Profile>> listeners;  // no profile: it can't be read
     std::map<std::string, std::optional<Words>> pools;  // their classes; none: they can't be read
     bool all_listeners = true, all_pools = true;
+    std::set<std::string> ldap_pools;       // of them, those of protocol ldap
     std::map<std::string, int> used_pools;  // by routes
 };
 
 void read_routes(Draft& draft, Table& root);
 
+// What is LDAP's own; where it is not built in, a fault where the file has any.
+void read_ldap_listener(Table& listener, Listener& to);
+void read_ldap_pool(Table& pool, Pool& to);
+void read_ldap_routes(Draft& draft, Table& root);
+
 }  // namespace whinledge::config
--- a/src/config/print.cpp
+++ b/src/config/print.cpp
@@ -52,11 +52,23 @@
     print_share(lines, owner, "connects", limits.connects, false);
 }
 
+std::string tls_text(const LdapTls& tls) {
+    if (tls.mode == LdapTls::Mode::none) return "without TLS";
+    return std::string(tls.mode == LdapTls::Mode::ldaps ? "LDAPS" : "StartTLS") + " from TLS 1." +
+           std::to_string(tls.minimum - 10);
+}
+
 void print_listener(Lines& lines, const Listener& l) {
     const std::string owner = "listener " + l.name;
-    const char* profile = l.profile == Listener::Profile::http ? " http" : " platform";
+    const char* profile = l.profile == Listener::Profile::http   ? " http"
+                          : l.profile == Listener::Profile::ldap ? " ldap"
+                                                                 : " platform";
     lines.add(owner + ": " + l.address + profile + ", head within " + format_duration(l.head_timeout) +
               ", idle " + format_duration(l.idle_timeout) + ", via " + l.via);
+    if (l.profile == Listener::Profile::ldap)
+        lines.add(owner + " ldap: " + std::to_string(l.ldap.operations) +
+                  " operations on a connection, messages up to " + format_size(l.ldap.message_limit) + ", " +
+                  tls_text(l.ldap.tls) + (l.ldap.tls.required ? ", required" : ""));
     print_limits(lines, owner, l.limits);
 }
 
@@ -97,6 +109,13 @@
               number(d.fall_multiple) + ", siblings " + std::to_string(d.siblings) + ", cancel " +
               (d.may_cancel ? "yes" : "no") + ", connect within " + format_duration(p.connect_timeout) +
               ", idle " + format_duration(p.idle_close));
+    if (p.is_ldap)
+        lines.add(owner + " ldap: " +
+                  (p.ldap.proxied ? "bound as " + whole(p.ldap.service) + " for whom each operation is, " +
+                                        std::to_string(p.ldap.operations) +
+                                        " operations on a connection, stall " + format_duration(p.ldap.stall)
+                                  : std::string("each client on a connection of its own")) +
+                  ", messages up to " + format_size(p.ldap.message_limit) + ", " + tls_text(p.ldap.tls));
     lines.add(owner + " members: " + source_line(p.source));
     for (const Member& m : p.source.members)
         lines.add(owner + " member " + m.id + ": " + m.address + ", zone " + or_dash(m.zone) + ", kind " +
@@ -192,6 +211,23 @@
            "; via " + (h.add_via ? "yes" : "no") + ", forwarded " + (h.add_forwarded ? "yes" : "no");
 }
 
+std::string ldap_route_line(const ldap::Route& r) {
+    const auto plain = [](const std::string& text) { return text; };
+    const auto op = [](ldap::Op o) { return std::string(ldap::name_of(o)); };
+    const auto code = [](std::int32_t c) { return ldap::name_of_code(c); };
+    const auto by_op = [&](const auto& one) { return op(one.first) + " " + one.second; };
+    const auto by_oid = [](const auto& one) { return one.first + " " + one.second; };
+    const ldap::Handling& h = r.handling;
+    return "ldap_route " + r.name + ": on " + list(r.listeners, "all listeners", plain) + "; under " +
+           list(r.suffixes, "any name", whole) + "; " + list(r.operations, "all operations", op) + "; by " +
+           list(r.identities, "anybody", whole) + " -> pool " + r.pool + "; timeout " +
+           format_duration(h.timeout) + ", stream idle " + format_duration(h.stream_idle) + ", attempts " +
+           std::to_string(h.attempts) + ", buffer " + format_size(h.buffer) + "; classes: safe " +
+           h.safe_class + ", unsafe " + h.unsafe_class + ", by operation " + list(h.classes, "-", by_op) +
+           ", extended " + list(h.extended, "-", by_oid) + "; errors " + list(h.errors, "-", code) +
+           "; never ran " + list(h.never_ran, "-", code);
+}
+
 }  // namespace
 
 std::vector<Tried> order_of_trial(const std::vector<Route>& routes) {
@@ -212,6 +248,7 @@
     for (const Pool& pool : s.pools) print_pool(lines, pool);
     for (const Tried& tried : order_of_trial(s.routes))
         lines.add(route_line(s.routes[tried.route], tried.match));
+    for (const ldap::Route& route : s.ldap_routes) lines.add(ldap_route_line(route));
     for (const Route& route : s.routes)
         if (!route.redirect && !route.answer) lines.add(handling_line(route));
     return std::move(lines).text();
--- a/src/config/read.cpp
+++ b/src/config/read.cpp
@@ -173,12 +173,14 @@
     const auto taken = [&](const std::string& name) { return draft.listeners.contains(name); };
     draft.all_listeners &= read_name(table, "listener", listener.name, taken);
     read_listener_address(table, listener, bound);
-    const bool readable = table.word<Listener::Profile>(
-        "profile", listener.profile,
-        {{"http", Listener::Profile::http}, {"platform", Listener::Profile::platform}});
+    const bool readable = table.word<Listener::Profile>("profile", listener.profile,
+                                                        {{"http", Listener::Profile::http},
+                                                         {"platform", Listener::Profile::platform},
+                                                         {"ldap", Listener::Profile::ldap}});
     table.duration("head_timeout", listener.head_timeout, {100, kMinute});
     table.duration("idle_timeout", listener.idle_timeout, {100, kHour});
     table.read("via", listener.via, kToken);
+    read_ldap_listener(table, listener);
     read_limits(table, listener.limits, true, totals);
     std::optional<Listener::Profile> profile;
     if (readable || !(table.has("profile") || table.misspelt("profile"))) profile = listener.profile;
@@ -410,6 +412,9 @@
     read_decisions(table, pool.decisions);
     table.duration("connect_timeout", pool.connect_timeout, {1, kMinute});
     table.duration("idle_close", pool.idle_close, {100, kHour});
+    table.word<bool>("protocol", pool.is_ldap, {{"http", false}, {"ldap", true}});
+    read_ldap_pool(table, pool);
+    if (pool.is_ldap) draft.ldap_pools.insert(pool.name);
     read_limits(table, pool.limits, false, totals);
     const bool classes_known = named && !table.misspelt("class");
     table.done();
@@ -446,12 +451,14 @@
     const Services& s = draft.services;
     std::vector<Fault> found;
     for (const Listener& listener : s.listeners) {
-        const auto takes = [&](const route::Route& route) {
+        const auto takes = [&](const auto& route) {
             return route.listeners.empty() || std::ranges::count(route.listeners, listener.name) > 0;
         };
-        if (!std::ranges::any_of(s.routes, takes))
+        const bool ldap = listener.profile == Listener::Profile::ldap;
+        if (ldap ? !std::ranges::any_of(s.ldap_routes, takes) : !std::ranges::any_of(s.routes, takes))
             found.push_back({s.origin, listener.line, 0, "listener." + listener.name,
-                             "no route takes its requests: all of them are answered 404"});
+                             ldap ? "no ldap_route takes its operations"
+                                  : "no route takes its requests: all of them are answered 404"});
     }
     for (const Pool& pool : s.pools)
         if (!draft.used_pools.contains(pool.name))
@@ -475,11 +482,12 @@
     Draft draft(origin);
     Totals totals;
     Table root(draft.faults, &document.root, "");
-    for (const char* key : {"process", "listener", "pool", "route"}) root.find(key);
+    for (const char* key : {"process", "listener", "pool", "route", "ldap_route"}) root.find(key);
     read_process(draft, root, totals);
     read_listeners(draft, root, totals);
     read_pools(draft, root, totals);
     read_routes(draft, root);
+    read_ldap_routes(draft, root);
     root.done();
     check_sums(draft, totals);
     Result result;
--- a/src/config/read_routes.cpp
+++ b/src/config/read_routes.cpp
@@ -270,6 +270,10 @@
     static const Form any{[](std::string_view) { return true; }, ""};
     if (!table_.text(value, path, pool, any)) return false;
     ++draft_.used_pools[pool];
+    if (draft_.ldap_pools.contains(pool))
+        return draft_.faults.add(value.at, path,
+                                 quote(pool) + " is of protocol ldap; an ldap_route leads there"),
+               false;
     if (draft_.pools.contains(pool)) return true;
     if (!draft_.all_pools) return false;
     Words known;
--- a/src/config/services.cpp
+++ b/src/config/services.cpp
@@ -34,7 +34,8 @@
 bool Pool::operator==(const Pool& other) const {
     return name == other.name && class_names == other.class_names && same(decisions, other.decisions) &&
            source == other.source && limits == other.limits && connect_timeout == other.connect_timeout &&
-           idle_close == other.idle_close && line == other.line;
+           idle_close == other.idle_close && is_ldap == other.is_ldap && ldap == other.ldap &&
+           line == other.line;
 }
 
 }  // namespace whinledge::config
--- a/src/config/services.hpp
+++ b/src/config/services.hpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "engine/members.hpp"
+#include "ldap_codec/routes.hpp"
 #include "route/spec.hpp"
 
 namespace whinledge::config {
@@ -25,12 +26,39 @@
     bool operator==(const Limits&) const = default;
 };
 
+// Of LDAP, at a listener or towards the servers of a pool.
+struct LdapTls {
+    enum class Mode { none, ldaps, starttls } mode = Mode::none;
+    std::string certificate, key;  // files, of a listener
+    bool required = false;         // of a listener with starttls
+    std::string authority, name;   // a file and whom certificates name, of a pool
+    int minimum = 12;              // 12 or 13: TLS 1.2 or 1.3
+    bool operator==(const LdapTls&) const = default;
+};
+struct LdapListener {
+    std::size_t operations = 1000;  // open on one connection
+    std::size_t message_limit = 1 << 20;
+    LdapTls tls;
+    bool operator==(const LdapListener&) const = default;
+};
+struct LdapPool {
+    bool proxied = false;                      // else each client binds as itself
+    std::string service, password_file;        // of proxied
+    std::vector<std::string> identities_from;  // pools whose binds count here
+    std::size_t operations = 16;               // open on a connection of several clients
+    Millis stall = 1000;                       // a client may hold up others for so long
+    std::size_t message_limit = 1 << 20;
+    LdapTls tls;
+    bool operator==(const LdapPool&) const = default;
+};
+
 struct Listener {
     std::string name, address;  // IP:PORT
-    enum class Profile { platform, http } profile = Profile::http;
+    enum class Profile { platform, http, ldap } profile = Profile::http;
     Limits limits;
     Millis head_timeout = 2500, idle_timeout = 60000;  // of its connections
     std::string via = "whinledge";                     // pseudonym in Via
+    LdapListener ldap;                                 // of profile ldap
     int line = 0;
     bool operator==(const Listener&) const = default;
 };
@@ -52,6 +80,8 @@
         bool operator==(const Source&) const = default;
     } source;
     Limits limits;
+    bool is_ldap = false;
+    LdapPool ldap;
     Millis connect_timeout = 250, idle_close = 14000;
     int line = 0;
     bool operator==(const Pool& other) const;
@@ -69,6 +99,7 @@
     std::vector<Listener> listeners;
     std::vector<Pool> pools;
     std::vector<route::Route> routes;
+    std::vector<ldap::Route> ldap_routes;
     bool operator==(const Services&) const = default;
 };
 
--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -83,6 +83,8 @@
             limit->pool->attempt_over(limit->request, limit->attempt);
         else if (const auto* const timer = std::get_if<ModuleTimer>(&what))
             timer->pool->timer_due(timer->token);
+        else if (const auto* const back = std::get_if<Return>(&what))
+            came_back(back->machine);
         else if (const auto* const overtime = std::get_if<Overtime>(&what))
             for (const auto* list : {&pools_, &retired_})
                 for (const auto& pool : *list)
@@ -113,6 +115,7 @@
                            [&](const auto& l) { return l.pool == &pool && l.server == server; });
     const bool fresh = at == machine.listings.end();
     try {
+        machine.transport = &transport;
         if (fresh || started > machine.started)
             transport.set_machine(id, machine.address, std::max(started, machine.started));
     } catch (...) {
@@ -136,6 +139,37 @@
     tell_others(machine, id, pool);
 }
 
+void Engine::notice(MachineId id, Millis hold) {
+    const auto at = machines_.find(id);
+    if (at == machines_.end() || at->second.drained_life >= std::max(at->second.started, time_.now() - hold))
+        return;
+    at->second.drained_life = time_.now();
+    add_due(time_.now() + hold, Return{id});
+    tell(at->second, id);
+}
+
+// It is another process now, for all that is known, and a cold one.
+void Engine::came_back(MachineId id) {
+    const auto at = machines_.find(id);
+    if (at == machines_.end()) return;
+    Machine& machine = at->second;
+    if (machine.started <= machine.drained_life && !machine.listings.empty() &&
+        std::none_of(machine.listings.begin(), machine.listings.end(),
+                     [](const auto& l) { return l.drains; })) {
+        machine.started = time_.now();
+        machine.transport->set_machine(id, machine.address, machine.started);
+    }
+    tell(machine, id);
+}
+
+// All pools that list it.
+void Engine::tell(const Machine& machine, MachineId id) {
+    std::vector<Pool*> pools;
+    for (const auto& listing : machine.listings)
+        if (std::find(pools.begin(), pools.end(), listing.pool) == pools.end()) pools.push_back(listing.pool);
+    for (Pool* const pool : pools) pool->retell(id);
+}
+
 void Engine::left(MachineId id, Pool& pool, ServerId server) {
     const auto at = machines_.find(id);
     if (at == machines_.end()) return;
--- a/src/engine/engine.hpp
+++ b/src/engine/engine.hpp
@@ -49,6 +49,10 @@
     // Carries out all that is due by now.
     void run_due();
 
+    // A machine says itself that it is about to end: as if it had been told to drain, by nobody's list. After
+    // `hold` milliseconds it counts as started anew, unless its source says more by then.
+    void notice(MachineId machine, Millis hold);
+
     std::size_t open() const;  // requests of all pools, those being removed too
     std::size_t timers() const { return due_.size(); }
     std::size_t machines() const { return machines_.size(); }
@@ -72,13 +76,17 @@
         PoolId pool;
         RequestId request;
     };
+    struct Return {  // of one that gave notice
+        MachineId machine;
+    };
     struct Farewell {};  // of pools that are gone and have finished what they had
-    using What = std::variant<AttemptLimit, ModuleTimer, Overtime, Farewell>;
+    using What = std::variant<AttemptLimit, ModuleTimer, Overtime, Return, Farewell>;
 
     // A server process's address, whoever lists it. Its connections, its drain and its slow start are counted
     // for it once.
     struct Machine {
         std::string address;
+        Transport* transport = nullptr;  // the one that knows it
         // One of a pool's servers that lists it.
         struct Listing {
             Pool* pool;
@@ -103,6 +111,8 @@
     const Machine& known(MachineId id) const { return machines_.at(id); }
     std::size_t sharers(const Machine& machine) const;
     void left(MachineId id, Pool& pool, ServerId server);
+    void came_back(MachineId machine);
+    void tell(const Machine& machine, MachineId id);
     void tell_others(const Machine& machine, MachineId id, const Pool& teller);
     void forget(MachineId id);
 
--- a/src/engine/pool.cpp
+++ b/src/engine/pool.cpp
@@ -192,6 +192,13 @@
     return call;
 }
 
+// Of a machine that is no member any more: one that there is not, so that the module refuses.
+ServerId Pool::bound_server(MachineId machine) const {
+    for (const auto& [id, server] : ledger_.servers())
+        if (server.machine == machine && server.listed) return id;
+    return ~ServerId{0};
+}
+
 void Pool::take(const std::shared_ptr<Call>& call, const Arrival& arrival) {
     const RequestId id = engine_.next_request_++;
     RequestArrived event;
@@ -201,6 +208,7 @@
     event.time_left = arrival.time_left;
     event.effort = arrival.effort;
     event.repeat = arrival.repeat;
+    if (arrival.bound_to) event.bound_to = bound_server(arrival.bound_to);
     const auto& classes = options_.decisions.classes;
     RequestPart part;
     part.deadline = engine_.now() + arrival.time_left;
--- a/src/engine/pool.hpp
+++ b/src/engine/pool.hpp
@@ -26,9 +26,10 @@
 struct Arrival {
     std::uint32_t class_index = ~0U;  // out of range: handled with most care
     std::uint32_t tenant = ~0U;
-    Millis time_left = 0;  // until its client gives it up
-    Millis effort = 0;     // expected work, 0 if not known
-    bool repeat = false;   // known to be a client's retry
+    Millis time_left = 0;    // until its client gives it up
+    Millis effort = 0;       // expected work, 0 if not known
+    bool repeat = false;     // known to be a client's retry
+    MachineId bound_to = 0;  // the machine that keeps what it needs; 0: any
 };
 
 class Pool final : private Transport::Listener {
@@ -141,6 +142,7 @@
     void attempt_ended(Transport::Key key, Outcome outcome, std::unique_ptr<Answer> answer) override;
     void probe_ended(MachineId machine, Outcome outcome) override;
 
+    ServerId bound_server(MachineId machine) const;
     ServerInfo told(ServerId id, const ServerPart& server) const;
     void note_phase(ServerPart& server) const;
     void retell(MachineId machine);
--- a/src/http/upstream.hpp
+++ b/src/http/upstream.hpp
@@ -20,29 +20,11 @@
 #include "http/message.hpp"
 #include "http/stream.hpp"
 #include "io/address.hpp"
+#include "io/connection_budget.hpp"
 #include "io/log.hpp"
 
 namespace whinledge {
 
-// Whose the connections to servers are, by pool, where more than one bound counts. All calls on the loop's
-// thread.
-class ConnectionBudget {
-public:
-    // One more, with a request on it; idle ones may be closed for it meanwhile. False: there is none to be
-    // had.
-    virtual bool open(PoolId pool) = 0;
-    // It has come up, or failed to.
-    virtual void connected(PoolId pool) = 0;
-    // It falls idle. False: it has to be closed, as one at work.
-    virtual bool rest(PoolId pool) = 0;
-    // An idle one of `from` goes to work for `to`. False: it may not, and stays idle.
-    virtual bool reuse(PoolId from, PoolId to) = 0;
-    virtual void closed(PoolId pool, bool idle) = 0;
-
-protected:
-    ~ConnectionBudget() = default;
-};
-
 class Upstream {
 public:
     using Response = boost::beast::http::response<PlainBody>;
--- a/src/policy/balance.cpp
+++ b/src/policy/balance.cpp
@@ -189,7 +189,8 @@
         if (!may_go(r)) return false;
         if (!open_to(r.class_index, s.info)) return false;  // placement
         if (!s.on()) return false;                          // rule 3
-        if (r.kind.effect == Effect::by_key)                // rule 2
+        if (r.bound_to && s.info.id != r.bound_to) return false;
+        if (r.kind.effect == Effect::by_key)  // rule 2
             for (const Attempt& a : r.attempts)
                 if (a.may_have_run && !in_scope(r, a, s.info)) return false;
         return !is_cold(s) || cold_tokens(s) >= 1;  // rule 4
@@ -602,6 +603,21 @@
         return std::max(kLeastPace, pace(*other)) < kLeave * pace(*best) ? other : best;
     }
 
+    // Of what is bound to one server there is nothing to choose.
+    Server* its_own(const Request& r, bool admitted) {
+        const auto at = servers.find(r.bound_to);
+        if (at == servers.end() || at->second.standing != Standing::live) return nullptr;
+        Server& s = at->second;
+        return (admitted || is_cold(s)) && may_send(r, s) ? &s : nullptr;
+    }
+    // Its server takes nothing new, nor will it before the request has waited for as long as it may.
+    bool forsaken(const Request& r) const {
+        if (!r.bound_to) return false;
+        const auto at = servers.find(r.bound_to);
+        return at == servers.end() || !at->second.on() ||
+               (at->second.standing == Standing::removed && at->second.backoff_until > r.hold_until);
+    }
+
     // So many of them, from a random place on where that is not all.
     template <class Take>
     void some_of(const std::vector<Server*>& from, std::size_t most, Take take) {
@@ -766,6 +782,7 @@
         // What we don't know is one class: estimates by class stay as few as classes.
         r.class_index = std::min(e.class_index, static_cast<std::uint32_t>(settings.classes.size()));
         r.repeat = e.repeat;
+        r.bound_to = e.bound_to;
         r.order = next_order++;
         if (e.class_index < settings.classes.size()) {
             r.kind = settings.classes[e.class_index];
@@ -805,7 +822,7 @@
         if (hopeless(r) && !proof_due(r) && !r.any_out()) return finish(r);
         const bool room_for_it = has_room(r), admitted = room_for_it || room_proof_due(r);
         Server* s = admitted ? due_trial(r) : nullptr;
-        if (!s) s = pick(r, admitted);
+        if (!s) s = r.bound_to ? its_own(r, admitted) : pick(r, admitted);
         if (!s && admitted) s = last_resort(r);
         if (!s) return hold(r);
         const bool despite_room = admitted && !room_for_it && !is_cold(*s);
@@ -819,7 +836,7 @@
     // Nobody may have it now. If one may later, hold it: at hold_until the timer answers.
     void hold(Request& r) {
         if (r.any_out()) return;
-        if (now >= r.hold_until || r.attempts.size() >= settings.max_attempts ||
+        if (now >= r.hold_until || r.attempts.size() >= settings.max_attempts || forsaken(r) ||
             (r.first_possible_run() && r.kind.effect == Effect::once))
             return finish(r);
         held.push_back(r.id);
--- a/src/policy/state.hpp
+++ b/src/policy/state.hpp
@@ -75,6 +75,7 @@
     // while a late answer, worth as little, keeps them quiet.
     Millis deadline = 0;
     std::uint64_t order = 0;  // of arrival
+    ServerId bound_to = 0;    // it may go there alone; 0: anywhere
     bool excess = false;      // beyond its tenant's share
     bool repeat = false, ended = false, streaming = false;
     bool waiting = false;                           // has its hold timer
--- a/tests/unit/config_test.cpp
+++ b/tests/unit/config_test.cpp
@@ -85,8 +85,8 @@
          R"([[listner]]
 [foo]
 )" + kBase,
-         {R"(1: listner: unknown key; known here: process, listener, pool, route)",
-          R"(2: foo: unknown key; known here: process, listener, pool, route)"}},
+         {R"(1: listner: unknown key; known here: process, listener, pool, route, ldap_route)",
+          R"(2: foo: unknown key; known here: process, listener, pool, route, ldap_route)"}},
         {"misspelt listeners are not missing as well",
          R"([[listner]]
 name = "l"
@@ -175,11 +175,11 @@
 )" + kPool + kRoute,
          {R"(2: listener[0].name: "a b" is not 1 to 64 letters, digits, "_", "-" or ".", the first a letter or a digit)",
           R"(3: listener[0].address: "localhost:80" is not a numeric IP:PORT such as "127.0.0.1:8080" or "[::1]:8080")",
-          R"(4: listener[0].profile: "tcp" is none of: http, platform)",
+          R"(4: listener[0].profile: "tcp" is none of: http, platform, ldap)",
           R"(5: listener[0].head_timeout: 99ms is out of range, 100ms to 1m)",
           R"(6: listener[0].idle_timeout: "2h" is not a duration such as "250ms", "15s" or "2m")",
           R"(7: listener[0].via: "a b" is not 1 to 256 letters, digits or signs of an HTTP token)",
-          R"(8: listener[0].colour: unknown key; known here: name, address, profile, head_timeout, idle_timeout, via, limits)"}},
+          R"(8: listener[0].colour: unknown key; known here: name, address, profile, head_timeout, idle_timeout, via, ldap, limits)"}},
         {"listener names",
          kListener + R"([[listener]]
 name = "l"
@@ -414,7 +414,7 @@
           R"(11: pool.a.may_cancel: a text, but it has to be true or false)",
           R"(12: pool.a.connect_timeout: 0ms is out of range, 1ms to 1m)",
           R"(13: pool.a.idle_close: a whole number, but it has to be a duration in quotes such as "250ms", "15s" or "2m")",
-          R"(14: pool.a.max_atempts: unknown key; known here: members, class, max_attempts, cold_from, warm_within, fall_multiple, siblings, may_cancel, connect_timeout, idle_close, limits)"}},
+          R"(14: pool.a.max_atempts: unknown key; known here: members, class, max_attempts, cold_from, warm_within, fall_multiple, siblings, may_cancel, connect_timeout, idle_close, protocol, ldap, limits)"}},
         {"nan",
          kListener + kPool + R"(cold_from = nan
 fall_multiple = inf
@@ -1099,7 +1099,7 @@
     EXPECT_EQ(s.drain, 0);
     EXPECT_EQ(s.seed, 0U);
     const Limits limits{{1, 2}, {1024, 2048}, {3, 4}, {}};
-    const Listener listener{"l", "[::1]:8080", Listener::Profile::platform, limits, 60000, 3600000, "v", 7};
+    const Listener listener{"l", "[::1]:8080", Listener::Profile::platform, limits, 60000, 3600000, "v", {}, 7};
     ASSERT_EQ(s.listeners.size(), 1U);
     EXPECT_TRUE(s.listeners[0] == listener);
 
