--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -27,7 +27,6 @@
 
 constexpr Millis kSettle = 3, kSettleCareful = 250;  // as in the platform's sidecar
 constexpr Millis kAccepting = 500;                   // of a drain
-constexpr Millis kNoticeHold = 5000;                 // a server that gave notice gets nothing for so long
 constexpr std::size_t kOtherDescriptors = 32;        // listeners, sources, files, the log
 
 std::uint64_t entropy() {
@@ -116,7 +115,7 @@
       wake_(io, clock_, [this] { engine_.run_due(); }),
       transport_(io, log_, {250, 14000, services.descriptors, kSettle, kSettleCareful}, &descriptors_),
       directory_(make_directory(io, log_, descriptors_,
-                                [this](MachineId machine) { engine_.notice(machine, kNoticeHold); })),
+                                [this](MachineId machine) { engine_.notice(machine, options_.notice_hold); })),
       engine_(clock_,
               {[this](Millis at) { wake_.at(at); }, [this](const std::string& text) { log_.line(text); }}),
       random_state_(services.seed ? *services.seed : entropy()),
--- a/src/app/daemon.hpp
+++ b/src/app/daemon.hpp
@@ -34,6 +34,8 @@
         route::RegexMaker regexes = nullptr;  // null: routes with expressions are refused
         Observer* observer = nullptr;
         Log* log = nullptr;  // null: its own, on standard error
+        // A server that gave notice of its end gets nothing new for so long, and counts as started anew then.
+        Millis notice_hold = 5000;
     };
     // Listens when it returns. Throws std::runtime_error with a line for each thing that is wrong: a route,
     // an address that can't be listened on, guarantees that don't fit.
--- a/src/ldap/listener.cpp
+++ b/src/ldap/listener.cpp
@@ -71,6 +71,7 @@
     Bytes proxied;        // the request as it goes out, where that is not as it came
     bool bound = false;   // to its session's home
     bool unsafe = false;  // its effect may not happen twice
+    Millis deadline = 0;  // on the steady clock
     std::unique_ptr<Grant> grant;
 
     Outgoing outgoing() const override {
@@ -391,6 +392,7 @@
         arrival.time_left = route.handling.timeout;
         if (op->request.time_limit > 0)
             arrival.time_left = std::min<Millis>(arrival.time_left, 1000.0 * op->request.time_limit);
+        op->deadline = steady_now() + arrival.time_left;
         if (op->bound) arrival.bound_to = op->session->home();
         if (ops_.empty()) door_->places().wakes(place, steady_now());
         door_->places().asked(place, false, steady_now());
@@ -720,6 +722,10 @@
             for (const LdapAnswer::Part& part : last_->parts) client.say(id, part.tail);
             return client.done(*this, last_.get());
         }
+        if (steady_now() >= deadline) {
+            client.result(*this, time_limit_exceeded, "out of time: trying again is harmless");
+            return client.done(*this, nullptr);
+        }
         const bool of_home = bound && request.op != Op::bind;
         client.result(*this, of_home ? unavailable : busy,
                       of_home ? "refused: its server takes nothing new; trying again elsewhere is harmless"
