--- a/tests/rig/rig.hpp
+++ b/tests/rig/rig.hpp
@@ -55,6 +55,7 @@
         int answers = 0;
         bool gone = false;
         bool refused = false;
+        ServerId bound_to = 0;
     };
 
     Settings settings;
@@ -86,12 +87,12 @@
     }
 
     RequestId request(std::uint32_t class_index = 0, Millis time_left = 1000, bool repeat = false,
-                      std::uint32_t tenant = ~0U) {
+                      std::uint32_t tenant = ~0U, ServerId bound_to = 0) {
         const RequestId id = next_id++;
         RequestClass kind = make_class(Effect::once);
         if (class_index < settings.classes.size()) kind = settings.classes[class_index];
-        requests[id] = {kind, class_index, now + time_left, {}, 0, false, false};
-        give(RequestArrived{id, class_index, time_left, 0, repeat, tenant});
+        requests[id] = {kind, class_index, now + time_left, {}, 0, false, false, bound_to};
+        give(RequestArrived{id, class_index, time_left, 0, repeat, tenant, bound_to});
         return id;
     }
 
@@ -232,6 +233,7 @@
         EXPECT_FALSE(closed(r)) << "rule 1: sent after the final answer";
         EXPECT_LT(r.sent.size(), settings.max_attempts) << "too many attempts";
         EXPECT_EQ(servers.at(send.server).phase, Phase::on) << "rule 3: sent to a draining or gone server";
+        EXPECT_TRUE(r.bound_to == 0 || send.server == r.bound_to) << "bound elsewhere";
         const ServerInfo& to = servers.at(send.server);
         for (std::size_t c = 0; c < settings.classes.size(); ++c) {
             if (c != r.class_index && r.class_index < settings.classes.size()) continue;
--- a/tests/unit/balancer_test.cpp
+++ b/tests/unit/balancer_test.cpp
@@ -115,6 +115,67 @@
     EXPECT_GT(share_to(rig, 100, 2), 20);
 }
 
+// ---- Requests that are bound to one server
+
+RequestId bound(Rig& rig, ServerId to, Millis time_left = 1000) {
+    return rig.request(0, time_left, false, ~0U, to);
+}
+
+TEST(Bound, GoesToItsServerAlone) {
+    Rig rig(once_settings());
+    rig.list(ListKind::full, make_servers(5));
+    for (int i = 0; i < 100; ++i) {
+        const RequestId id = bound(rig, 3);
+        ASSERT_TRUE(rig.out(id));
+        EXPECT_EQ(rig.where(id), 3U);
+        rig.end(id, Outcome::completed, 10);
+    }
+    EXPECT_GT(share_to(rig, 100, 1), 5) << "the others go on being chosen";
+}
+
+TEST(Bound, IsRefusedAtOnceWhereItsServerTakesNothingNew) {
+    for (const Phase phase : {Phase::fading, Phase::off}) {
+        Rig rig(once_settings());
+        rig.list(ListKind::full, make_servers(3));
+        auto servers = make_servers(3);
+        servers[1].phase = phase;
+        rig.list(ListKind::incremental, servers);
+        const RequestId id = bound(rig, 2);
+        EXPECT_TRUE(rig.requests.at(id).refused);
+        EXPECT_EQ(rig.sends(id), 0U);
+        EXPECT_TRUE(rig.out(bound(rig, 1)));
+    }
+    Rig rig(once_settings());
+    rig.list(ListKind::full, make_servers(3));
+    EXPECT_TRUE(rig.requests.at(bound(rig, 77)).refused) << "one that there is not";
+}
+
+TEST(Bound, WhatNeverRanIsTriedThereAgainAndNowhereElse) {
+    Rig rig(once_settings());
+    rig.list(ListKind::full, make_servers(3));
+    const RequestId id = bound(rig, 2);
+    rig.end(id, Outcome::refused_connection, 10);
+    while (rig.out(id)) {
+        EXPECT_EQ(rig.where(id), 2U);
+        rig.end(id, Outcome::refused_connection, 10);
+    }
+    rig.settle();
+    EXPECT_TRUE(rig.requests.at(id).refused);
+}
+
+TEST(Bound, AServerThatWasRemovedRefusesThemUntilItsTrial) {
+    Rig rig(once_settings());
+    rig.list(ListKind::full, make_servers(4));
+    drive(rig, 60, 2, Outcome::errored);
+    ASSERT_EQ(rig.removals(), 1);
+    EXPECT_TRUE(rig.requests.at(bound(rig, 2)).refused) << "at once: it is out for longer than it may wait";
+    rig.pass(11000);
+    const RequestId trial = bound(rig, 2);
+    ASSERT_TRUE(rig.out(trial)) << "its backoff is over";
+    rig.end(trial, Outcome::completed, 10);
+    EXPECT_TRUE(rig.out(bound(rig, 2)));
+}
+
 // One class fails at one server; the other class is served there.
 TEST(Shun, AClassLeavesAServerThatFailsItAndTheOthersKeepIt) {
     Rig rig(make_settings({make_class(Effect::once), make_class(Effect::once)}));
--- a/tests/unit/engine_test.cpp
+++ b/tests/unit/engine_test.cpp
@@ -235,6 +235,62 @@
     EXPECT_FALSE(out.listener->attempt_wanted(out.key));
 }
 
+// A machine that says itself that it is about to end.
+TEST_F(EngineRig, ANoticeDrainsAMachineForAllPoolsAndItComesBackCold) {
+    Pool& p = pool("p", {member("s-1", "10.0.0.1:1"), member("s-2", "10.0.0.2:1")});
+    Pool& q = pool("q", {member("t-1", "10.0.0.1:1")});
+    const MachineId machine = transport.machines.begin()->first;
+    ASSERT_EQ(transport.machines.at(machine).first, "10.0.0.1:1");
+    engine.notice(machine, 5000);
+    EXPECT_EQ(p.ready(), 1u);
+    EXPECT_EQ(q.ready(), 0u);
+    for (int i = 0; i < 10; ++i) {
+        const auto call = take(p, 0);
+        EXPECT_EQ(transport.out.at(out_of(call)).address, "10.0.0.2:1");
+        transport.end(out_of(call), Outcome::completed);
+        EXPECT_EQ(take(q, 0, 100)->end, End::none) << "held, for it may come";
+        pass(200);
+    }
+    engine.notice(machine, 5000);  // once is enough: it does not begin anew
+    pass(2000);
+    EXPECT_EQ(q.ready(), 0u);
+    pass(1100);
+    EXPECT_EQ(p.ready(), 2u);
+    EXPECT_EQ(q.ready(), 1u);
+    EXPECT_EQ(transport.machines.at(machine).second, 1e6 + 5000) << "started anew, so it is fed slowly";
+    // What its source says more by then holds instead.
+    engine.notice(machine, 5000);
+    pass(100);
+    p.members({2, false, {member("s-1", "10.0.0.1:1", Phase::on, time.at + 50)}});
+    EXPECT_EQ(q.ready(), 1u);
+    const Millis started = transport.machines.at(machine).second;
+    pass(6000);
+    EXPECT_EQ(transport.machines.at(machine).second, started);
+    // A drain that its source told outlives the notice.
+    engine.notice(machine, 1000);
+    q.members({3, false, {member("t-1", "10.0.0.1:1", Phase::fading)}});
+    pass(3000);
+    EXPECT_EQ(p.ready(), 1u);
+    EXPECT_EQ(q.ready(), 0u);
+    engine.notice(999, 1000);  // of nobody: nothing
+}
+
+TEST_F(EngineRig, WhatIsBoundToAMachineGoesToTheMemberThatIsIt) {
+    Pool& p =
+        pool("p", {member("s-1", "10.0.0.1:1"), member("s-2", "10.0.0.2:1"), member("s-3", "10.0.0.3:1")});
+    const auto bound = [&](MachineId machine) {
+        auto call = std::make_shared<TestCall>();
+        call->time = &time;
+        p.take(call, {1, ~0U, 1000, 0, false, machine});
+        return call;
+    };
+    for (const auto& [machine, known] : std::map(transport.machines)) {
+        const auto call = bound(machine);
+        EXPECT_EQ(transport.out.at(out_of(call)).address, known.first);
+    }
+    EXPECT_EQ(bound(4242)->end, End::refused) << "a machine of nobody";
+}
+
 TEST_F(EngineRig, APoolThatIsRemovedFinishesWhatItHasAndSendsNothingNew) {
     Pool& a = pool("a", {member("s", "10.0.0.1:1"), member("t", "10.0.0.2:1")});
     const auto unsafe = take(a, kUnsafe, 2000), safe = take(a, kSafe, 2000), lost = take(a, kSafe, 2000);
--- a/tests/unit/rules_test.cpp
+++ b/tests/unit/rules_test.cpp
@@ -75,7 +75,9 @@
         const std::uint32_t what = dice.below(100);
         if (what < 45) {
             // Class 5 and tenant 2 are unknown.
-            rig.request(dice.below(6), 20 + dice.below(1500), dice.below(4) == 0, dice.below(3));
+            // Some are bound to one server, which there may not be.
+            rig.request(dice.below(6), 20 + dice.below(1500), dice.below(4) == 0, dice.below(3),
+                        dice.below(4) ? 0 : 1 + dice.below(11));
         } else if (what < 85) {
             end_random(rig, dice);
         } else if (what < 88) {
