--- a/tests/rig/ldap_rig.hpp
+++ b/tests/rig/ldap_rig.hpp
@@ -41,7 +41,7 @@
         found.clear();
         const int code = ::ldap_search_ext_s(ld_, base.c_str(), scope, "(objectClass=*)", nullptr, 0,
                                              controls, nullptr, nullptr, 0, &all);
-        for (LDAPMessage* entry = ::ldap_first_entry(ld_, all); entry;
+        for (LDAPMessage* entry = all ? ::ldap_first_entry(ld_, all) : nullptr; entry;
              entry = ::ldap_next_entry(ld_, entry)) {
             char* const dn = ::ldap_get_dn(ld_, entry);
             found.emplace_back(dn);
