--- a/bench/ldap_bench.cpp
+++ b/bench/ldap_bench.cpp
@@ -49,6 +49,7 @@
         std::vector<char*> argv;
         for (const std::string& word : words) argv.push_back(const_cast<char*>(word.c_str()));
         argv.push_back(nullptr);
+        std::fflush(stdout);
         id = ::fork();
         if (id != 0) return;
         ::prctl(PR_SET_PDEATHSIG, SIGKILL);
@@ -329,7 +330,8 @@
         });
     }
     void send() {
-        out_ = std::string(ldap::with_id(++id_, lookup(id_)));
+        ++id_;
+        out_ = std::string(ldap::with_id(id_, lookup(id_)));
         asio::async_write(socket_, asio::buffer(out_), [](error_code, std::size_t) {});
         read();
     }
--- a/tests/integration/ldap_test.cpp
+++ b/tests/integration/ldap_test.cpp
@@ -512,6 +512,63 @@
     }
 }
 
+// References and intermediate responses go on as entries do.
+TEST_F(Ldap, ReferencesAndIntermediateResponsesArePassedOn) {
+    for (const bool whole : {true, false}) {
+        one.script = [](const auto& seen) {
+            DirectoryServer::Fault fault;
+            if (seen.op != Op::search) return fault;
+            ldap::BerWriter reference, intermediate;
+            reference.begin(0x73).octets("ldap://other.example.org/dc=x").end();
+            intermediate.begin(0x79).octets("1.2.3", 0x80).octets("value", 0x81).end();
+            for (const ldap::Bytes& tail : {reference.take(), intermediate.take(),
+                                            ldap::result_tail(Op::search_done, ldap::success, "done")})
+                fault.raw += RawLdap::text(ldap::with_id(seen.id, tail));
+            return fault;
+        };
+        start_with({&one}, true, whole ? "timeout = \"2s\"" : "timeout = \"2s\"\nbuffer = \"0KiB\"");
+        RawClient& client = raw_ldap();
+        EXPECT_EQ(ask_raw(client, 1, RawLdap::search(1, "ou=people," + base)).text, "done");
+        const auto all = got(client, 1);
+        ASSERT_EQ(all.size(), 3u);
+        EXPECT_EQ(all[0].op, Op::reference);
+        EXPECT_EQ(all[1].op, Op::intermediate);
+        EXPECT_EQ(all[1].oid, "1.2.3");
+        raw.clear();
+        daemon.reset();
+    }
+}
+
+// Descriptors are given back, whoever ends a connection.
+TEST_F(Ldap, ConnectionsAreCountedOnce) {
+    for (const bool proxied : {true, false}) {
+        SCOPED_TRACE(proxied);
+        start(ldap_listener() +
+              ldap_pool("people", {&one, &two, &three}, proxied, "idle_close = \"150ms\"\n") +
+              ldap_route("all", "people", "timeout = \"300ms\""));
+        const auto held = [&] { return daemon->descriptors().held(daemon->pool("people")->id()); };
+        two.script = [](const auto&) {
+            DirectoryServer::Fault fault;
+            fault.close = true;
+            return fault;
+        };
+        three.freeze();
+        std::vector<RawClient*> all;
+        for (int i = 0; i < 12; ++i) all.push_back(&raw_ldap());
+        for (int id = 1; id <= 5; ++id)
+            for (RawClient* const c : all) c->send(RawLdap::search(id, "ou=people," + base));
+        until([&] { return held() > 0; });
+        until([&] { return open() == 0; });
+        for (RawClient* const c : all) c->close();
+        until([&] { return daemon->clients() == 0 && held() == 0; });
+        EXPECT_EQ(daemon->descriptors().shares().used(), 1u) << "that of the next client";
+        two.script = [](const auto&) { return DirectoryServer::Fault{}; };
+        three.thaw();
+        raw.clear();
+        daemon.reset();
+    }
+}
+
 // ---- Drains, and servers that come back
 
 TEST_F(Ldap, ADrainedServerFinishesLongSearchesAndGetsNothingNew) {
