--- a/tests/integration/ldap_bytes_test.cpp
+++ b/tests/integration/ldap_bytes_test.cpp
@@ -361,7 +361,7 @@
             EXPECT_EQ(seen(Op::modify), before + 1) << "never sent again";
             until([&] { return open() == 0; });
         }
-        raw.clear();
+        forget_clients();
         daemon.reset();
     }
 }
@@ -389,7 +389,7 @@
             EXPECT_EQ(ask_raw(client, id, RawLdap::search(id, "ou=people," + base)).code, ldap::success);
             EXPECT_EQ(got(client, id).size(), 7u);
         }
-        raw.clear();
+        forget_clients();
         daemon.reset();
     }
     EXPECT_GE(one.count(Op::search), 3u) << "it was met";
--- a/tests/integration/ldap_test.cpp
+++ b/tests/integration/ldap_test.cpp
@@ -76,7 +76,7 @@
         RawClient& client = raw_ldap();
         may_have_run(ask_raw(client, 1, RawLdap::modify(1, dn)));
         EXPECT_EQ(changes(dn), 1);
-        raw.clear();
+        forget_clients();
         daemon.reset();
     }
     EXPECT_EQ(seen(Op::modify), 2u);
@@ -95,7 +95,7 @@
         start_with({&one, &two, &three}, proxied);
         may_have_run(ask_raw(raw_ldap(), 1, RawLdap::modify(1, "cn=x," + base)));
         EXPECT_EQ(seen(Op::modify), before + 1);
-        raw.clear();
+        forget_clients();
         daemon.reset();
     }
 }
@@ -161,7 +161,7 @@
         EXPECT_EQ(hit->changed.count(*ldap::normal_dn(dn)), 0u);
         hit->thaw();
         static_cast<void>(at_one), static_cast<void>(at_two);
-        raw.clear();
+        forget_clients();
         daemon.reset();
     }
 }
@@ -225,7 +225,7 @@
                 << i;
             EXPECT_EQ(ask_raw(client, 2, RawLdap::search(2, "ou=people," + base)).code, ldap::success) << i;
         }
-        raw.clear();
+        forget_clients();
         daemon.reset();
     }
 }
@@ -251,7 +251,7 @@
             }
         }
         EXPECT_GE(bound, 28);
-        raw.clear();
+        forget_clients();
         daemon.reset();
     }
 }
@@ -363,7 +363,7 @@
         // Of what is not open nothing is heard.
         client.send(RawLdap::abandon(5, 77));
         EXPECT_EQ(ask_raw(client, 6, RawLdap::search(6, "ou=people," + base)).code, ldap::success);
-        raw.clear();
+        forget_clients();
         daemon.reset();
     }
 }
@@ -400,7 +400,7 @@
         EXPECT_LT(answered, 300);
         EXPECT_FALSE(client.ended);
         EXPECT_EQ(open(), 0u);
-        raw.clear();
+        forget_clients();
         daemon.reset();
     }
 }
@@ -452,7 +452,7 @@
         EXPECT_EQ(finals.size(), 1000u);
         for (const auto& [id, count] : finals) EXPECT_EQ(count, 1) << id;
         EXPECT_LE(most, 100u) << "no more is read than may be open";
-        raw.clear();
+        forget_clients();
         daemon.reset();
         for (DirectoryServer* const server : servers()) {
             for (const auto& [dn, count] : server->changed) EXPECT_EQ(count, 1) << dn;
@@ -505,7 +505,7 @@
             until([&] { return whole; });
             EXPECT_GT(size, 2000u * 10000u);
         }
-        raw.clear();
+        forget_clients();
         deaf.close();
         daemon.reset();
         one.seen.clear();
@@ -534,7 +534,7 @@
         EXPECT_EQ(all[0].op, Op::reference);
         EXPECT_EQ(all[1].op, Op::intermediate);
         EXPECT_EQ(all[1].oid, "1.2.3");
-        raw.clear();
+        forget_clients();
         daemon.reset();
     }
 }
@@ -564,7 +564,7 @@
         EXPECT_EQ(daemon->descriptors().shares().used(), 1u) << "that of the next client";
         two.script = [](const auto&) { return DirectoryServer::Fault{}; };
         three.thaw();
-        raw.clear();
+        forget_clients();
         daemon.reset();
     }
 }
@@ -627,7 +627,7 @@
         until([&] { return has_final(client, id); });
         EXPECT_EQ(final_of(client, id).code, ldap::success) << "what it had it finished";
         for (std::size_t i = before; i < one.seen.size(); ++i) EXPECT_TRUE(one.seen[i].op == Op::unbind);
-        raw.clear();
+        forget_clients();
         daemon.reset();
     }
 }
@@ -693,7 +693,7 @@
                 EXPECT_EQ(seen.as, "uid=berta," + base);
             }
         }
-        raw.clear();
+        forget_clients();
         daemon.reset();
     }
 }
@@ -743,7 +743,7 @@
                 EXPECT_EQ(seen.as, "");
             }
         }
-        raw.clear();
+        forget_clients();
         daemon.reset();
     }
 }
@@ -871,7 +871,7 @@
         EXPECT_NE(got.text.find("begin again"), std::string::npos) << got.text;
         EXPECT_EQ(one.count(Op::search), before);
         EXPECT_EQ(ask_raw(client, 3, RawLdap::search(3, "ou=people," + base)).code, ldap::success);
-        raw.clear();
+        forget_clients();
         daemon.reset();
     }
 }
@@ -901,7 +901,7 @@
         until([&] { return got(client, 4).size() == 6; });
         client.close();
         until([&] { return open() == 0; });
-        raw.clear();
+        forget_clients();
         daemon.reset();
     }
 }
@@ -920,7 +920,7 @@
             EXPECT_EQ(ask_raw(client, 4, RawLdap::extended(4, ldap::oid::end_transaction, "x")).code,
                       ldap::unavailable);
         }
-        raw.clear();
+        forget_clients();
         daemon.reset();
     }
 }
--- a/tests/integration/ldap_tls_test.cpp
+++ b/tests/integration/ldap_tls_test.cpp
@@ -139,7 +139,7 @@
                 EXPECT_TRUE(got.code == ldap::busy || got.code == ldap::time_limit_exceeded) << got.code;
                 EXPECT_EQ(server.count(Op::bind), 0u) << "no password went there";
             }
-            raw.clear();
+            forget_clients();
             daemon.reset();
         }
     std::remove(other_ca.c_str());
@@ -155,7 +155,7 @@
     EXPECT_EQ(seen(Op::modify), 0u);
     // Without TLS at the listener it is refused, and the connection goes on.
     daemon.reset();
-    raw.clear();
+    forget_clients();
     start_with({&one}, true);
     RawClient& plain = raw_ldap();
     EXPECT_EQ(ask_raw(plain, 1, RawLdap::extended(1, ldap::oid::start_tls)).code, ldap::protocol_error);
--- a/tests/rig/ldap_rig.hpp
+++ b/tests/rig/ldap_rig.hpp
@@ -91,13 +91,15 @@
         std::int32_t code;
         std::string text, oid;
     };
-    static std::vector<Got> read(const std::string& bytes) {
+    static std::vector<Got> read(std::string_view rest, std::size_t* taken = nullptr) {
         std::vector<Got> all;
-        std::string_view rest = bytes;
+        const std::size_t size = rest.size();
         for (;;) {
             const auto framed = ldap::frame(rest, 64 << 20);
             if (framed.found != ldap::Framed::Found::whole) break;
-            const auto message = ldap::read_message(rest.substr(0, framed.size), {});
+            // A copy with a byte behind it.
+            const std::string one(rest.substr(0, framed.size));
+            const auto message = ldap::read_message(one, {});
             if (const auto* const m = std::get_if<ldap::Message>(&message)) {
                 const auto response = ldap::read_response(*m, {});
                 Got got{m->id, m->op, -1, "", ""};
@@ -115,6 +117,7 @@
             }
             rest.remove_prefix(framed.size);
         }
+        if (taken) *taken = size - rest.size();
         return all;
     }
 
@@ -250,7 +253,16 @@
         thread.join();
     }
     RawClient& raw_ldap() { return raw.emplace_back(io, edge()); }
-    std::vector<RawLdap::Got> got(const RawClient& client) const { return RawLdap::read(client.text); }
+    // Read once, as it comes.
+    const std::vector<RawLdap::Got>& got(const RawClient& client) const {
+        auto& [size, all] = heard_[&client];
+        if (client.text.size() < size) size = 0, all.clear();
+        std::size_t taken = 0;
+        for (auto& each : RawLdap::read(std::string_view(client.text).substr(size), &taken))
+            all.push_back(each);
+        size += taken;
+        return all;
+    }
     // The responses with that id.
     std::vector<RawLdap::Got> got(const RawClient& client, ldap::MessageId id) const {
         std::vector<RawLdap::Got> some;
@@ -281,6 +293,11 @@
         until([&] { return has_final(client, id) || client.ended; });
         return final_of(client, id);
     }
+    // Clients of before are gone, and others may have their places.
+    void forget_clients() {
+        raw.clear();
+        heard_.clear();
+    }
     std::vector<DirectoryServer*> servers() { return {&one, &two, &three}; }
     std::size_t seen(ldap::Op op) {
         std::size_t all = 0;
@@ -294,6 +311,9 @@
                 all += at->second;
         return all;
     }
+
+private:
+    mutable std::map<const RawClient*, std::pair<std::size_t, std::vector<RawLdap::Got>>> heard_;
 };
 
 }  // namespace whinledge::test
