Sidecars know each other: [fleet], its datagrams over UDP, the control socket, CLI11

Need: membership was linked by tests alone; many processes of the program served one fleet and knew nothing of each other. Change: [fleet] of a services file (read strictly, printed by check, compared on reload); src/peers carries membership on the program's clock (FleetAgent: a datagram counts as a member's only from its configured address; senders are found by a hash); src/control, a Unix socket of its owner alone with JSON lines; `whinledge fleet members` and `fleet watch`; the command line by CLI11, not touched where the platform starts the program without arguments. A reload opens first what may fail; the same member keeps its life, another name or period is a new one. SIGTERM says `draining`, the end of the drain goodbye. What had arrived for a closed socket finds nobody, and one handler that throws no longer ends the hearing. LB_CONFIG is as it was.

--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -161,7 +161,9 @@
     Services fresh;
     Entrances opened;
     Bounds bounds;
+    FleetChange fleet_change;
     try {
+        fleet_change = prepare_fleet(services);
         for (const config::Pool& pool : services.pools)
             if (is_new(change_of(difference.pools, pool.name)))
                 fresh.emplace(pool.name, start(pool, plan.get()));
@@ -215,11 +217,31 @@
     routing_ = std::move(routing);
     plan_ = plan;
     if (directory_) directory_->adopt(plan);
+    adopt_fleet(std::move(fleet_change), services.fleet.has_value());
     config_ = std::move(services);
     for (auto& [name, service] : services_)
         if (service.source && is_new(change_of(difference.pools, name))) service.source->start();
 }
 
+// The fleet that stays keeps its life, whatever else changes.
+Daemon::FleetChange Daemon::prepare_fleet(const config::Services& services) {
+    FleetChange change;
+    if (!services.fleet) return change;
+    if (fleet_)
+        change.change = fleet_->prepare(*services.fleet);
+    else
+        change.fresh = std::make_unique<Fleet>(io_, clock_, *services.fleet, random());
+    return change;
+}
+
+void Daemon::adopt_fleet(FleetChange change, bool wanted) {
+    if (change.fresh) fleet_ = std::move(change.fresh);
+    if (change.change) fleet_->adopt(std::move(*change.change));
+    if (wanted || !fleet_) return;
+    fleet_->leave();
+    fleet_.reset();
+}
+
 void Daemon::remove(Service& service) {
     service.source.reset();
     // It sends nothing new.
@@ -457,16 +479,23 @@
         std::erase_if(leaving_, [](const auto& e) { return e->drained; });
         const bool all = std::all_of(entrances_.begin(), entrances_.end(),
                                      [](const auto& e) { return e.second->drained; });
-        if (draining_ && all && leaving_.empty() && drained_) std::exchange(drained_, nullptr)();
+        if (draining_ && all && leaving_.empty() && drained_) finish();
     });
 }
 
+// Nothing is open any more: the fleet learns that this was no failure.
+void Daemon::finish() {
+    if (fleet_) fleet_->leave();
+    std::exchange(drained_, nullptr)();
+}
+
 void Daemon::drain(std::function<void()> done) {
     if (draining_) return;
     draining_ = true;
     drained_ = std::move(done);
+    if (fleet_) fleet_->drain();
     for (auto& [name, e] : entrances_) e->listener->drain(kAccepting);
-    if (entrances_.empty() && leaving_.empty()) return asio::post(io_, std::exchange(drained_, nullptr));
+    if (entrances_.empty() && leaving_.empty()) return asio::post(io_, [this] { finish(); });
     drain_timer_.expires_after(span(config_.drain));
     drain_timer_.async_wait([this](boost::system::error_code cancelled) {
         if (!cancelled) hurry();
--- a/src/app/daemon.hpp
+++ b/src/app/daemon.hpp
@@ -15,6 +15,7 @@
 
 #include "app/budgets.hpp"
 #include "app/directory.hpp"
+#include "app/fleet.hpp"
 #include "config/services.hpp"
 #include "engine/engine.hpp"
 #include "http/front.hpp"
@@ -58,6 +59,7 @@
     std::size_t clients() const;
     const Descriptors& descriptors() const { return descriptors_; }
     const limits::Gate& gate() const { return gate_; }
+    const Fleet* fleet() const { return fleet_.get(); }  // null: the file has none
 
 private:
     class Grant;
@@ -91,6 +93,14 @@
     void remove(Service& service);
     std::unique_ptr<MemberSource> source_of(const config::Pool& pool, Pool& of);
     Bounds bound(const config::Services& services, const Services& fresh);
+    // What a change of the fleet opens: another one, or changes to the one there is.
+    struct FleetChange {
+        std::unique_ptr<Fleet> fresh;
+        std::optional<Fleet::Change> change;
+    };
+    FleetChange prepare_fleet(const config::Services& services);
+    void adopt_fleet(FleetChange change, bool wanted);
+    void finish();
     void retire(std::unique_ptr<Entrance> entrance);
     void drained(Entrance& entrance);
     Admission admit(const Entrance& entrance, const std::string& pool);
@@ -116,6 +126,7 @@
     Services services_;
     Entrances entrances_;
     std::list<std::unique_ptr<Entrance>> leaving_;
+    std::unique_ptr<Fleet> fleet_;
     boost::asio::steady_timer drain_timer_;
     std::function<void()> drained_;
     bool draining_ = false;
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -1,5 +1,6 @@
 // whinledge: one sidecar of the platform, told by the configuration that LB_CONFIG names; or several
 // services, told by a file (--config FILE).
+#include <CLI/CLI.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <cstdlib>
 #include <exception>
@@ -8,9 +9,8 @@
 #include <iostream>
 #include <iterator>
 #include <string>
-#include <string_view>
-#include <vector>
 
+#include "app/ask.hpp"
 #include "app/config.hpp"
 #include "app/services.hpp"
 #include "app/sidecar.hpp"
@@ -19,15 +19,15 @@
 
 using whinledge::ConfigError;
 
-constexpr const char* kHelp =
-    "whinledge " WHINLEDGE_VERSION
-    "\n"
-    "  whinledge                  one sidecar, told by the file that LB_CONFIG names\n"
-    "  whinledge --config FILE    several services, told by a services file\n"
-    "  whinledge check FILE       says what is wrong with a services file, or prints what it makes of it\n"
-    "  whinledge --version, --help\n"
-    "SIGHUP reads the configuration anew, SIGTERM drains and ends, a second SIGTERM hurries.\n"
-    "Status: 0 ended in good order, 1 could not start or the file is wrong, 2 the command line is wrong.\n";
+constexpr const char* kAbout =
+    "A balancer for requests whose effects matter. Without arguments it is one sidecar, told by the file "
+    "that\n"
+    "LB_CONFIG names. SIGHUP reads the configuration anew, SIGTERM drains and ends, a second SIGTERM "
+    "hurries.";
+constexpr const char* kStatus =
+    "Status: 0 done, or ended in good order; 1 could not start, the file is wrong, or a command was "
+    "refused;\n"
+    "2 the command line is wrong.";
 
 whinledge::Config configuration() {
     const char* const path = std::getenv("LB_CONFIG");
@@ -100,15 +100,72 @@
     });
 }
 
-int command(const std::vector<std::string_view>& words) {
-    if (words.empty()) return run_platform();
-    const bool one = words.size() == 1, two = words.size() == 2;
-    if (one && (words[0] == "--help" || words[0] == "-h")) return std::cout << kHelp, 0;
-    if (one && words[0] == "--version") return std::cout << "whinledge " WHINLEDGE_VERSION "\n", 0;
-    if (two && words[0] == "--config") return run_services(std::string(words[1]));
-    if (two && words[0] == "check")
-        return whinledge::check_services(std::string(words[1]), std::cout, std::cerr);
-    std::cerr << "whinledge: unknown command line\n" << kHelp;
+// What there is to say on the command line; `run` becomes what was asked for.
+class CommandLine {
+public:
+    CommandLine() {
+        app_.set_version_flag("--version", "whinledge " WHINLEDGE_VERSION);
+        app_.footer(kStatus);
+        app_.require_subcommand(0, 1);
+        auto* const config =
+            app_.add_option("--config", file_, "Several services, told by this services file")
+                ->type_name("FILE");
+        app_.callback([this, config] {
+            if (!app_.get_subcommands().empty() && config->count() > 0)
+                throw CLI::ValidationError("--config", "not with a command");
+            if (config->count() > 0) run = [this] { return run_services(file_); };
+        });
+        add_check();
+        add_fleet();
+    }
+    // Throws CLI::ParseError; --help and --version are thrown as well.
+    void parse(int count, char** words) { app_.parse(count, words); }
+    // Prints what a ParseError says.
+    int tell(const CLI::ParseError& error) const { return app_.exit(error) == 0 ? 0 : 2; }
+
+    std::function<int()> run;
+
+private:
+    void add_check() {
+        auto* const check = app_.add_subcommand(
+            "check", "Says what is wrong with a services file, or prints what it makes of it");
+        check->add_option("FILE", file_, "A services file")->required();
+        check->callback(
+            [this] { run = [this] { return whinledge::check_services(file_, std::cout, std::cerr); }; });
+    }
+    void add_fleet() {
+        auto* const fleet = app_.add_subcommand("fleet", "Asks a running process about its fleet");
+        fleet->require_subcommand(1);
+        add_question(*fleet, "members", "Who is there, as that process believes", whinledge::ask_members);
+        add_question(*fleet, "watch", "The same, then each change as it happens", whinledge::watch_fleet);
+    }
+    using Ask = int (*)(const whinledge::Question&, std::ostream&, std::ostream&);
+    void add_question(CLI::App& to, const char* name, const char* what, Ask ask) {
+        auto* const command = to.add_subcommand(name, what);
+        command->add_option("--socket", question_.socket, "The control socket, [fleet] control of its file")
+            ->type_name("PATH")
+            ->required();
+        command->add_flag("--json", question_.json, "One JSON object on a line");
+        command->callback(
+            [this, ask] { run = [this, ask] { return ask(question_, std::cout, std::cerr); }; });
+    }
+
+    CLI::App app_{kAbout, "whinledge"};
+    std::string file_;
+    whinledge::Question question_;
+};
+
+// The platform's sidecar has no arguments and no use for their parser.
+int command(int count, char** words) {
+    if (count == 1) return run_platform();
+    CommandLine line;
+    try {
+        line.parse(count, words);
+    } catch (const CLI::ParseError& error) {
+        return line.tell(error);
+    }
+    if (line.run) return line.run();
+    std::cerr << "whinledge: unknown command line\n";
     return 2;
 }
 
@@ -116,7 +173,7 @@
 
 int main(int count, char** words) {
     try {
-        return command({words + 1, words + count});
+        return command(count, words);
     } catch (const std::exception& error) {
         std::cerr << "whinledge: " << error.what() << '\n';
         return 1;
--- a/src/config/diff.cpp
+++ b/src/config/diff.cpp
@@ -122,6 +122,25 @@
         .keys;
 }
 
+std::vector<Fleet::Member> by_name(std::vector<Fleet::Member> members) {
+    std::ranges::sort(members, {}, &Fleet::Member::name);
+    return members;
+}
+
+Changed compare_fleet(const std::optional<Fleet>& a, const std::optional<Fleet>& b) {
+    if (!a || !b) {
+        const Change change = a ? Change::removed : b ? Change::added : Change::unchanged;
+        return {a ? a->name : b ? b->name : "", change, {}};
+    }
+    return Comparison(b->name)
+        .key("name", a->name == b->name, Change::replaced)
+        .key("self", a->self == b->self, Change::replaced)
+        .key("probe_period", a->probe_period == b->probe_period, Change::replaced)
+        .key("member", by_name(a->members) == by_name(b->members), Change::in_place)
+        .key("control", a->control == b->control, Change::in_place)
+        .result();
+}
+
 // Of those that are in both, in the order of `in`.
 std::vector<std::string> common(const std::vector<route::Route>& in, const std::vector<route::Route>& other) {
     std::vector<std::string> names;
@@ -170,7 +189,8 @@
     return routes_reordered || !all_unchanged(routes) || !all_unchanged(ldap_routes);
 }
 bool Difference::empty() const {
-    return process.empty() && all_unchanged(listeners) && all_unchanged(pools) && !routes_changed();
+    return process.empty() && all_unchanged(listeners) && all_unchanged(pools) && !routes_changed() &&
+           fleet.change == Change::unchanged;
 }
 
 Difference difference(const Services& before, const Services& after) {
@@ -180,6 +200,7 @@
     found.pools = compare_all(before.pools, after.pools);
     found.routes = compare_all(before.routes, after.routes);
     found.ldap_routes = compare_all(before.ldap_routes, after.ldap_routes);
+    found.fleet = compare_fleet(before.fleet, after.fleet);
     found.routes_reordered = common(before.routes, after.routes) != common(after.routes, before.routes);
     return found;
 }
@@ -191,6 +212,7 @@
     describe_all("pool", d.pools, lines);
     describe_all("route", d.routes, lines);
     describe_all("ldap_route", d.ldap_routes, lines);
+    describe_all("fleet", {d.fleet}, lines);
     if (d.routes_reordered) lines.push_back("routes: in another order");
     return lines;
 }
--- a/src/config/diff.hpp
+++ b/src/config/diff.hpp
@@ -30,6 +30,7 @@
     std::vector<Changed> ldap_routes;
     std::vector<Changed> routes;    // routes hold nothing: they are in_place where they differ
     bool routes_reordered = false;  // which can change who wins among equals
+    Changed fleet;                  // replaced: this process is another member, or another life of it
     bool routes_changed() const;
     bool empty() const;  // nothing changes
 };
--- a/src/config/draft.hpp
+++ b/src/config/draft.hpp
@@ -1,4 +1,4 @@
-// What is known of a services file while it is read: of use to read.cpp and read_routes.cpp alone.
+// What is known of a services file while it is read: of use to the files read*.cpp alone.
 #pragma once
 
 #include <map>
@@ -28,6 +28,7 @@
 };
 
 void read_routes(Draft& draft, Table& root);
+void read_fleet(Draft& draft, Table& root);
 
 // What is LDAP's own; where it is not built in, a fault where the file has any.
 void read_ldap_listener(Table& listener, Listener& to);
--- a/src/config/print.cpp
+++ b/src/config/print.cpp
@@ -228,6 +228,14 @@
            "; never ran " + list(h.never_ran, "-", code);
 }
 
+void print_fleet(Lines& lines, const Fleet& f) {
+    lines.add("fleet " + f.name + ": " + f.self + " of " + std::to_string(f.members.size()) +
+              ", probes each " + format_duration(f.probe_period) + ", control " +
+              (f.control.empty() ? "-" : whole(f.control)));
+    for (const Fleet::Member& m : f.members)
+        lines.add("fleet " + f.name + " member " + m.name + ": " + m.address);
+}
+
 }  // namespace
 
 std::vector<Tried> order_of_trial(const std::vector<Route>& routes) {
@@ -251,6 +259,7 @@
     for (const ldap::Route& route : s.ldap_routes) lines.add(ldap_route_line(route));
     for (const Route& route : s.routes)
         if (!route.redirect && !route.answer) lines.add(handling_line(route));
+    if (s.fleet) print_fleet(lines, *s.fleet);
     return std::move(lines).text();
 }
 
--- a/src/config/read.cpp
+++ b/src/config/read.cpp
@@ -482,12 +482,13 @@
     Draft draft(origin);
     Totals totals;
     Table root(draft.faults, &document.root, "");
-    for (const char* key : {"process", "listener", "pool", "route", "ldap_route"}) root.find(key);
+    for (const char* key : {"process", "listener", "pool", "route", "ldap_route", "fleet"}) root.find(key);
     read_process(draft, root, totals);
     read_listeners(draft, root, totals);
     read_pools(draft, root, totals);
     read_routes(draft, root);
     read_ldap_routes(draft, root);
+    read_fleet(draft, root);
     root.done();
     check_sums(draft, totals);
     Result result;
--- a/src/config/services.cpp
+++ b/src/config/services.cpp
@@ -38,4 +38,6 @@
            line == other.line;
 }
 
+const Fleet::Member& Fleet::own() const { return *std::ranges::find(members, self, &Member::name); }
+
 }  // namespace whinledge::config
--- a/src/config/services.hpp
+++ b/src/config/services.hpp
@@ -89,6 +89,21 @@
 // The module's types have no comparison of their own.
 bool same(const Settings& a, const Settings& b);
 
+// The sidecars of one tier that know each other (docs/operate/fleet.md).
+struct Fleet {
+    struct Member {
+        std::string name, address;  // UDP, IP:PORT
+        bool operator==(const Member&) const = default;
+    };
+    std::string name, self;
+    std::string control;          // path of a Unix socket; empty: none
+    Millis probe_period = 1000;   // P
+    std::vector<Member> members;  // self among them
+    int line = 0;
+    const Member& own() const;
+    bool operator==(const Fleet&) const = default;
+};
+
 struct Services {
     std::string origin;  // the file
     std::size_t descriptors = 1024;
@@ -100,6 +115,7 @@
     std::vector<Pool> pools;
     std::vector<route::Route> routes;
     std::vector<ldap::Route> ldap_routes;
+    std::optional<Fleet> fleet;
     bool operator==(const Services&) const = default;
 };
 
--- a/src/peers/peers.hpp
+++ b/src/peers/peers.hpp
@@ -4,8 +4,12 @@
 #include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
+#include <cstdint>
 #include <functional>
+#include <memory>
 #include <optional>
+#include <span>
+#include <unordered_map>
 #include <vector>
 
 #include "engine/types.hpp"
@@ -24,19 +28,35 @@
           std::vector<Udp::endpoint> peers, std::optional<Udp::endpoint> all, Received received);
 
     // To one of them, or to all. What is too long, or is for nobody, is not sent.
-    void tell(std::optional<std::uint32_t> to, const std::vector<std::uint8_t>& bytes);
+    void tell(std::optional<std::uint32_t> to, std::span<const std::uint8_t> bytes);
+    // Others from now on: `from` and `to` count in this list.
+    void replace(std::vector<Udp::endpoint> peers);
     Udp::endpoint address() const { return socket_.local_endpoint(); }
 
+    // Since the start. Bytes of what was sent; what the system did not take is lost like any datagram.
+    struct Counts {
+        std::uint64_t sent = 0, bytes = 0, not_taken = 0, received = 0, strangers = 0, too_long = 0;
+    };
+    const Counts& counts() const { return counts_; }
+
 private:
+    struct Hash {
+        std::size_t operator()(const Udp::endpoint& e) const;
+    };
     void receive();
+    void take(std::size_t size);
 
     Log& log_;
     Udp::socket socket_;
     std::vector<Udp::endpoint> peers_;
+    std::unordered_map<Udp::endpoint, std::uint32_t, Hash> by_address_;
     std::optional<Udp::endpoint> all_;
     Received received_;
+    Counts counts_;
     Udp::endpoint sender_;
     std::array<std::uint8_t, kLongest + 1> buffer_{};  // one more than a message may have
+    // Gone with this object: what had arrived by then finds nobody.
+    std::shared_ptr<void> here_ = std::make_shared<int>();
 };
 
 }  // namespace whinledge
--- a/tests/unit/config_test.cpp
+++ b/tests/unit/config_test.cpp
@@ -85,8 +85,8 @@
          R"([[listner]]
 [foo]
 )" + kBase,
-         {R"(1: listner: unknown key; known here: process, listener, pool, route, ldap_route)",
-          R"(2: foo: unknown key; known here: process, listener, pool, route, ldap_route)"}},
+         {R"(1: listner: unknown key; known here: process, listener, pool, route, ldap_route, fleet)",
+          R"(2: foo: unknown key; known here: process, listener, pool, route, ldap_route, fleet)"}},
         {"misspelt listeners are not missing as well",
          R"([[listner]]
 name = "l"
