--- a/src/fleet/allotment.cpp
+++ b/src/fleet/allotment.cpp
@@ -10,10 +10,14 @@
 
 // Shares of tau.
 constexpr double kRenew = 0.5, kAgain = 0.125;  // after the question; after its last copy
-constexpr double kRefused = 0.125;              // a lender that had nothing is not asked again for so long
-constexpr double kShedAfter = 0.125;            // more than is wanted is held for so long before it goes back
+constexpr double kRefused = 0.5;                // a lender that had nothing is not asked again for so long
+constexpr double kMore = 0.0625;                // a lender that lent is asked for more after so long
+constexpr double kVain = 0.0625;                // one is asked so often while nobody lends
+constexpr double kShedAfter = 0.0625;           // more than is wanted is held for so long before it goes back
 constexpr double kRecall = 0.0625;              // recalls of one lease, and answers to them, are so far apart
 constexpr double kSlack = 0.25;                 // of what is wanted: held beyond that is too much
+constexpr Units kUneven = 4;                    // a part of a share by which it may be passed
+constexpr Units kWorthwhile = 16;  // of what is wanted: less more than that part is no datagram worth
 constexpr Millis kNever = 1e18, kDay = 24 * 3600 * 1000.0;
 
 std::uint64_t mix(std::uint64_t z) {
@@ -153,13 +157,29 @@
     loan.amount = 0;
     loan.number = ask.number;
     loan.wants = std::min(ask.want, settings_.units);
-    const Units others = lent(now) - loan.reserved(now);
-    const Units room = less(less(holdable(now), busy_), others);
-    loan.amount = std::min(room, fair_share(loan, now));
+    loan.amount = std::min(room_for(loan, now), fair_share(loan, now));
     loan.ends = now + lender_lease();
     return Grant{loan.number, loan.amount};
 }
 
+// What nobody else may still hold.
+Units Allotment::room_for(const Loan& loan, Millis now) const {
+    return less(less(holdable(now), busy_), lent(now) - loan.reserved(now));
+}
+
+// Whoever could not have all, because others held it, has the rest as soon as they have given it back. The
+// lease stays the one that it asked for: of one number a grant only grows, so that copies and disorder don't
+// matter.
+void Allotment::lend_more(Millis now, std::vector<Tell>& out) {
+    for (Loan& loan : loans_) {
+        if (now >= loan.ends || loan.amount >= loan.wants) continue;
+        const Units could = std::min(room_for(loan, now), fair_share(loan, now));
+        if (could <= loan.amount || could - loan.amount < loan.wants / kWorthwhile) continue;
+        loan.amount = could;
+        out.push_back({loan.to, Grant{loan.number, could}});
+    }
+}
+
 // A life that said something is remembered until its leases have ended: what it said comes again otherwise.
 void Allotment::drop_ended(Millis now) {
     std::erase_if(loans_, [&](const Loan& l) { return now >= l.ends && now >= l.kept_ends; });
@@ -181,20 +201,22 @@
 
 bool Allotment::receive(Millis now, Key from, const Grant& grant) {
     const auto debt = std::find_if(debts_.begin(), debts_.end(), [&](const Debt& d) {
-        return d.from == from && d.pending && d.number == grant.number;
+        return d.from == from && d.number == grant.number && (d.pending || grant.amount > d.held);
     });
     if (debt == debts_.end() || now >= debt->asked_at + settings_.lease) {
         ++counts_.grants_dropped;
         return false;
     }
-    debt->pending = false;
     // Never more than was asked for, whatever a lender says. What it took back it may lend once it knows that
     // we hold no more.
     const Units before = now < debt->until ? debt->held : 0;
+    const bool wanted_more = debt->asked > before;
     debt->held = std::min(grant.amount, debt->asked);
-    debt->again = debt->held < before;
     debt->until = debt->asked_at + settings_.lease;
-    if (debt->held == 0) debt->refused_at = now;
+    if (debt->pending) debt->again = debt->held < before;
+    debt->pending = false;
+    vain_ = debt->held > before ? 0 : vain_ + wanted_more;
+    if (debt->held <= before && wanted_more) debt->refused_at = now;
     return true;
 }
 
@@ -221,9 +243,16 @@
     return missing;
 }
 
+// More than is wanted and some, for when demand is not quite even.
+Units Allotment::surplus(Millis now) const {
+    const Units wanted = std::max(wanted_, busy_);
+    const auto slack = static_cast<Units>(std::ceil(kSlack * wanted));
+    return less(usable(now), wanted + slack);
+}
+
 // The same question again must be the same question: its answer's lease counts from its first copy.
 void Allotment::renew(Millis now, std::vector<Tell>& out) {
-    Units lacking = missing(now);
+    Units lacking = missing(now), too_much = surplus(now);
     for (Debt& d : debts_) {
         const bool holds = d.held > 0 && now < d.until;
         if (d.pending && now < d.asked_at + kRenew * settings_.lease) {
@@ -231,14 +260,21 @@
             d.sent_at = now;
             out.push_back({d.from, Ask{d.number, d.held, d.asked, lease_told()}});
         } else if (d.again || (holds && now >= d.asked_at + kRenew * settings_.lease)) {
-            const Units most = part_of(d.from, settings_.members, settings_.units, limit_);
-            const Units more = std::min(lacking, less(most, d.held));
+            const Units back = holds ? std::min(too_much, d.held) : 0;
+            const Units keep = holds ? d.held - back : 0;
+            const Units more = std::min(lacking, less(most_from(d.from), keep));
+            too_much -= back;
             lacking -= more;
-            out.push_back(ask(d, now, d.held, d.held + more));
+            out.push_back(ask(d, now, keep, keep + more));
         }
     }
 }
 
+// A lender has its part at the most.
+Units Allotment::most_from(Key lender) const {
+    return part_of(lender, settings_.members, settings_.units, limit_);
+}
+
 void Allotment::receive_recall(Millis now, Key from) {
     for (Debt& d : debts_)
         if (d.from == from && d.held > 0 && now < d.until && !d.pending &&
@@ -246,56 +282,67 @@
             d.again = true;
 }
 
-// Whoever holds more than its share, now that others or we want more, is to ask anew.
+// Whoever holds clearly more than its share, now that others or we want more, is to ask anew. Demand is never
+// quite even, and to follow each of its steps would cost more than it brings.
 void Allotment::recall(Millis now, std::vector<Tell>& out) {
     for (Loan& loan : loans_) {
         if (now >= loan.ends || now < loan.recalled_at + kRecall * settings_.lease) continue;
-        if (loan.amount <= fair_share(loan, now)) continue;
+        const Units fair = fair_share(loan, now);
+        if (loan.amount <= fair + fair / kUneven) continue;
         loan.recalled_at = now;
-        out.push_back({loan.to, {}, true});
+        out.push_back({loan.to, Recall{}});
     }
 }
 
-// What is too much goes back, the smallest leases first: fewer are left to renew.
+// What is too much for a while goes back, the smallest leases first: fewer are left to renew.
 void Allotment::shed(Millis now, std::vector<Tell>& out) {
-    const Units wanted = std::max(wanted_, busy_), usable_now = usable(now);
-    const auto slack = static_cast<Units>(std::ceil(kSlack * wanted));
-    if (borrowed(now) == 0 || usable_now <= wanted + slack) {
+    if (borrowed(now) == 0 || surplus(now) == 0) {
         spared_since_ = kNever;
         return;
     }
     if (spared_since_ == kNever) spared_since_ = now;
     if (now < spared_since_ + kShedAfter * settings_.lease) return;
     spared_since_ = kNever;
-    Units surplus = usable_now - wanted;
+    Units left = less(usable(now), std::max(wanted_, busy_));
     std::sort(debts_.begin(), debts_.end(), [](const Debt& a, const Debt& b) { return a.held < b.held; });
     for (Debt& d : debts_) {
-        if (surplus == 0) return;
+        if (left == 0) return;
         if (d.held == 0 || now >= d.until) continue;
-        const Units back = std::min(surplus, d.held);
-        surplus -= back;
+        const Units back = std::min(left, d.held);
+        left -= back;
         out.push_back(ask(d, now, d.held - back, d.held - back));
     }
 }
 
+// Whether it makes sense to ask that one for (more of) its part now.
+bool Allotment::may_lend(Key owner, Millis now) const {
+    const auto d =
+        std::find_if(debts_.begin(), debts_.end(), [&](const Debt& one) { return one.from == owner; });
+    if (d == debts_.end()) return true;
+    const bool waits = d->pending && now < d->asked_at + kRenew * settings_.lease;
+    if (waits || now < d->refused_at + kRefused * settings_.lease) return false;
+    return d->held == 0 || now >= d->until || now >= d->asked_at + kMore * settings_.lease;
+}
+
+// Where half of the owners had nothing for us, all are busy, and questions are in vain.
 void Allotment::seek(Millis now, const std::vector<Key>& absent, std::vector<Tell>& out) {
     Units lacking = missing(now);
     const auto away = [&](Key k) { return std::find(absent.begin(), absent.end(), k) != absent.end(); };
+    const bool in_vain = vain_ > owners_.size() / 2;
+    if (in_vain && now < sought_at_ + kVain * settings_.lease) return;
+    const std::size_t most = in_vain ? 1 : kMostAsks;
     std::size_t asked = 0;
-    for (std::size_t looked = 0; looked < owners_.size() && lacking > 0 && asked < kMostAsks; ++looked) {
+    for (std::size_t looked = 0; looked < owners_.size() && lacking > 0 && asked < most; ++looked) {
         const Key owner = owners_[next_owner_++ % owners_.size()];
-        const auto known =
-            std::find_if(debts_.begin(), debts_.end(), [&](const Debt& d) { return d.from == owner; });
-        if (known != debts_.end() &&
-            (known->pending || now < known->refused_at + kRefused * settings_.lease ||
-             (known->held > 0 && now < known->until)))
-            continue;
-        if (away(owner)) continue;
-        // A lender has its part at the most; if it gives less, others are asked next time.
-        const Units more = std::min(lacking, part_of(owner, settings_.members, settings_.units, limit_));
+        if (!may_lend(owner, now) || away(owner)) continue;
+        Debt& d = debt_from(owner);
+        const Units held = now < d.until ? d.held : 0;
+        const Units more = std::min(lacking, less(most_from(owner), held));
+        if (more == 0) continue;
         lacking -= more;
         ++asked;
-        out.push_back(ask(debt_from(owner), now, 0, more));
+        sought_at_ = now;
+        out.push_back(ask(d, now, held, held + more));
     }
 }
 
@@ -303,6 +350,7 @@
     drop_ended(now);
     std::vector<Tell> out;
     recall(now, out);
+    lend_more(now, out);
     renew(now, out);
     shed(now, out);
     seek(now, absent, out);
--- a/src/fleet/allotment.hpp
+++ b/src/fleet/allotment.hpp
@@ -15,6 +15,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <variant>
 #include <vector>
 
 #include "fleet/types.hpp"
@@ -31,7 +32,8 @@
     std::uint32_t lease = 0;  // ms, by which it counts; no lender lends for longer than it counts itself
     bool operator==(const Ask&) const = default;
 };
-// The answer to the ask of that number: so much in all, in place of what was lent before.
+// The answer to the ask of that number: so much in all, in place of what was lent before. A later one of the
+// same number only adds to it.
 struct Grant {
     std::uint32_t number = 0;
     Units amount = 0;
@@ -82,13 +84,14 @@
     // A lender wants to be asked anew, since others want some of what it lent: liveness alone.
     void receive_recall(Millis now, Key from);
 
-    // What to send now, each to be sent at once: renewals, new asks, what is given back, recalls. At most
-    // kMostAsks new ones a call; call it each tau / 64 or so. `absent`: members that are believed to be away,
-    // asked last; a wrong belief costs use and never the bound.
+    // What to send now, each to be sent at once: renewals, new asks, what is given back, recalls, more for
+    // those that could not have all at first. At most kMostAsks new ones a call; call it each tau / 64 or so.
+    // `absent`: members that are believed to be away, asked last; a wrong belief costs use and never the
+    // bound.
+    struct Recall {};
     struct Tell {
         Key to = 0;
-        Ask ask;
-        bool recall = false;  // in place of the ask
+        std::variant<Ask, Grant, Recall> what;
     };
     static constexpr std::size_t kMostAsks = 8;
     std::vector<Tell> tick(Millis now, const std::vector<Key>& absent);
@@ -135,14 +138,19 @@
     Units holdable(Millis now) const;  // of our own part: 0 while it may be lent by an earlier life
     Units spare(Millis now) const;     // of that, what is not wanted here
     Units fair_share(const Loan& loan, Millis now) const;
+    Units room_for(const Loan& loan, Millis now) const;
     Loan& loan_to(Key to, Incarnation life);
     void drop_ended(Millis now);
     Debt& debt_from(Key from);
     Tell ask(Debt& debt, Millis now, Units keep, Units want);
     std::uint32_t lease_told() const;
     Units missing(Millis now) const;
+    Units surplus(Millis now) const;
+    Units most_from(Key lender) const;
+    bool may_lend(Key owner, Millis now) const;
     void renew(Millis now, std::vector<Tell>& out);
     void recall(Millis now, std::vector<Tell>& out);
+    void lend_more(Millis now, std::vector<Tell>& out);
     void shed(Millis now, std::vector<Tell>& out);
     void seek(Millis now, const std::vector<Key>& absent, std::vector<Tell>& out);
     void set_owners();
@@ -160,6 +168,8 @@
     std::vector<Debt> debts_;
     std::vector<Key> owners_;  // others with a part, in a random order; where the next question goes
     std::size_t next_owner_ = 0;
+    std::size_t vain_ = 0;  // questions for more that brought nothing, since one that did
+    Millis sought_at_ = -1e18;
     std::uint32_t next_number_ = 1;
     std::uint64_t random_;
     Counts counts_;
