--- /dev/null
+++ b/tests/fleet/fleet_test.cpp
@@ -0,0 +1,159 @@
+// Fleets of processes of the program, by the experiments that stand beside this file; each may also be run by
+// itself: whinledge_fleet_rig run FILE.
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <cstdlib>
+#include <filesystem>
+#include <nlohmann/json.hpp>
+
+#include "fleet/processes.hpp"
+#include "fleet/rig.hpp"
+
+namespace whinledge::fleetrig {
+namespace {
+
+namespace fs = std::filesystem;
+
+// A result folder, which stays where the test fails; FLEET_RIG_OUT says where, and that it stays anyhow.
+class Folder {
+public:
+    explicit Folder(const std::string& name) {
+        const char* const out = std::getenv("FLEET_RIG_OUT");
+        keep_ = out != nullptr;
+        path_ =
+            out ? fs::path(out) / name
+                : fs::temp_directory_path() / ("whinledge-fleet-" + std::to_string(::getpid()) + "-" + name);
+        fs::remove_all(path_);
+    }
+    ~Folder() {
+        std::error_code ignored;
+        if (!keep_ && !testing::Test::HasFailure()) fs::remove_all(path_, ignored);
+    }
+    const fs::path& path() const { return path_; }
+
+private:
+    fs::path path_;
+    bool keep_;
+};
+
+std::vector<std::string> experiments() {
+    std::vector<std::string> names;
+    for (const auto& entry : fs::directory_iterator(EXPERIMENTS))
+        if (entry.path().extension() == ".toml") names.push_back(entry.path().stem().string());
+    std::sort(names.begin(), names.end());
+    return names;
+}
+Experiment load(const std::string& name) {
+    return read_experiment((fs::path(EXPERIMENTS) / (name + ".toml")).string());
+}
+
+class Fleet : public testing::TestWithParam<std::string> {};
+
+TEST_P(Fleet, Holds) {
+    const Experiment experiment = load(GetParam());
+    const Folder folder(GetParam());
+    const Outcome outcome = run(experiment, WHINLEDGE, folder.path());
+    EXPECT_TRUE(outcome.passed) << summary_of(experiment, experiment.cast(), outcome) << "  "
+                                << (folder.path() / "report.html").string();
+    EXPECT_EQ(outcome.overrun, 0u) << "the rig lost datagrams itself";
+}
+
+INSTANTIATE_TEST_SUITE_P(Experiments, Fleet, testing::ValuesIn(experiments()), [](const auto& info) {
+    std::string name = info.param;
+    std::replace(name.begin(), name.end(), '-', '_');
+    return name;
+});
+
+// ---- That the rig sees what is wrong
+
+const std::string kSmall = "title = \"small\"\nmembers = 3\nservers = 1\nprobe_period = \"200ms\"\n";
+
+const Result& of(const Outcome& outcome, const std::string& condition) {
+    for (const Result& r : outcome.results)
+        if (r.condition.find(condition) != std::string::npos) return r;
+    throw std::logic_error(condition + " is no condition");
+}
+
+TEST(FleetRig, AConditionThatIsNotSoFails) {
+    const Experiment experiment =
+        parse_experiment(kSmall +
+                             "[[step]]\ndo = \"kill\"\nmembers = \"s3\"\nat = \"1P\"\n"
+                             "[[condition]]\nwant = \"all_hold\"\nmembers = \"s3\"\nstate = "
+                             "\"failed\"\nafter = \"1P\"\nwithin = \"15P\"\n"
+                             "[[condition]]\nwant = \"never\"\nmembers = \"s3\"\nstate = \"failed\"\n"
+                             "[[condition]]\nwant = \"all_hold\"\nmembers = \"s2\"\nstate = \"left\"\nafter "
+                             "= \"1P\"\nwithin = \"2P\"\n"
+                             "[[condition]]\nwant = \"datagrams\"\nmost = 0.5\n",
+                         "small.toml");
+    const Folder folder("not-so");
+    const Outcome outcome = run(experiment, WHINLEDGE, folder.path());
+    EXPECT_FALSE(outcome.passed);
+    EXPECT_TRUE(of(outcome, "all_hold: s3 failed").passed);
+    EXPECT_FALSE(of(outcome, "never: s3 failed").passed);
+    EXPECT_FALSE(of(outcome, "all_hold: s2 left").passed);
+    EXPECT_FALSE(of(outcome, "datagrams").passed);
+    ASSERT_EQ(outcome.detections.size(), 1u);
+    EXPECT_EQ(outcome.detections[0].took.size(), 2u);
+}
+
+TEST(FleetRig, AProcessThatEndsByItselfFails) {
+    const Experiment experiment =
+        parse_experiment(kSmall + "[[condition]]\nwant = \"no_repeats\"\n", "small.toml");
+    const Folder folder("ends");
+    const Outcome outcome = run(experiment, "/bin/false", folder.path());
+    EXPECT_FALSE(outcome.passed);
+    EXPECT_NE(of(outcome, "no process ends").seen.find("ended by itself with status"), std::string::npos);
+}
+
+// ---- The command, against members that run
+
+struct Said {
+    int status = -1;
+    std::string out;
+};
+Said ask(const std::string& words) {
+    Said said;
+    FILE* const pipe = ::popen((std::string(WHINLEDGE) + " " + words + " 2>/dev/null").c_str(), "r");
+    if (!pipe) return said;
+    std::array<char, 4096> bytes;
+    while (const std::size_t n = std::fread(bytes.data(), 1, bytes.size(), pipe))
+        said.out.append(bytes.data(), n);
+    const int status = ::pclose(pipe);
+    said.status = WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+    return said;
+}
+
+TEST(FleetCommand, MembersAreThoseOfTheFleet) {
+    const Experiment experiment =
+        parse_experiment(kSmall + "[[condition]]\nwant = \"views_equal\"\nwithin = \"20P\"\n", "small.toml");
+    const Folder folder("command");
+    Said json, text, nobody;
+    const Outcome outcome = run(experiment, WHINLEDGE, folder.path(), [&](const Processes& processes) {
+        json = ask("fleet members --json --socket " + processes.control(1));
+        text = ask("fleet members --socket " + processes.control(1));
+        nobody = ask("fleet members --json --socket " + processes.control(1) + "-none");
+    });
+    EXPECT_TRUE(outcome.passed) << summary_of(experiment, experiment.cast(), outcome);
+    EXPECT_EQ(json.status, 0);
+    const auto said = nlohmann::json::parse(json.out, nullptr, false);
+    ASSERT_TRUE(said.is_object()) << json.out;
+    EXPECT_EQ(said["self"], "s2");
+    EXPECT_EQ(said["standing"], "joined");
+    ASSERT_EQ(said["members"].size(), 3u);
+    for (const auto& member : said["members"]) {
+        EXPECT_EQ(member["state"], "alive") << member;
+        EXPECT_GT(member["incarnation"], 0) << member;
+        EXPECT_GE(member["heard_ms"], 0) << member;
+        EXPECT_EQ(member["draining"], false) << member;
+    }
+    EXPECT_EQ(text.status, 0);
+    EXPECT_NE(text.out.find("joined"), std::string::npos) << text.out;
+    EXPECT_EQ(nobody.status, 1);
+}
+
+}  // namespace
+}  // namespace whinledge::fleetrig
