Limits of the whole fleet in the program: [[fleet.limit]], admission, datagrams, `fleet limits`

Need: the fleet's limits decide nothing until requests pass them. Change: [[fleet.limit]] of a services file (rate or open, strict); a request passes its process's Gate, then the limits of its pool and class, and is refused at once with when to come back; what was open is given back by the request's end; items to members go by the agent, in datagrams of their own; `whinledge fleet limits` tells allotment, lent, borrowed, used, bound. A life of a process is told beside its questions, as an incarnation may be raised. Admit is asked by class, too.

--- a/src/app/ask.cpp
+++ b/src/app/ask.cpp
@@ -59,6 +59,16 @@
     }
 }
 
+void print_limits(const Json& result, std::ostream& out) {
+    out << result.at("self").get<std::string>() << ": " << result.at("standing").get<std::string>() << '\n';
+    for (const Json& l : result.at("limits"))
+        out << l.at("name").get<std::string>() << ": " << l.at("used") << " of " << l.at("allotment")
+            << (l.at("kind") == "rate" ? " a second" : " open") << " (own " << l.at("own") << ", lent "
+            << l.at("lent") << ", borrowed " << l.at("borrowed") << "), " << l.at("limit")
+            << " for the fleet, over by at most " << l.at("over_bound") << ", " << l.at("refused")
+            << " refused\n";
+}
+
 void print_event(const Json& event, std::ostream& out) {
     out << event.at("at_ms").get<std::int64_t>() << ' ' << event.value("name", "standing") << ' '
         << event.at("from").get<std::string>() << " -> " << event.at("to").get<std::string>() << '\n';
@@ -73,6 +83,13 @@
     });
 }
 
+int ask_limits(const Question& question, std::ostream& out, std::ostream& err) {
+    return ask(question, "fleet limits", err, [&](const Json& result) {
+        question.json ? void(out << result << '\n') : print_limits(result, out);
+        return false;
+    });
+}
+
 int watch_fleet(const Question& question, std::ostream& out, std::ostream& err) {
     return ask(question, "fleet watch", err, [&](const Json& line) {
         if (question.json)
--- a/src/app/ask.hpp
+++ b/src/app/ask.hpp
@@ -13,6 +13,7 @@
 
 // Exit status: 0 done; 1 refused, or nobody answers, with a reason on `err`.
 int ask_members(const Question& question, std::ostream& out, std::ostream& err);
+int ask_limits(const Question& question, std::ostream& out, std::ostream& err);
 // Prints the members, then each change of one as it happens, until the process ends.
 int watch_fleet(const Question& question, std::ostream& out, std::ostream& err);
 
--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -26,8 +26,8 @@
 namespace {
 
 constexpr Millis kSettle = 3, kSettleCareful = 250, kDoubt = 10000;  // as in the platform's sidecar
-constexpr Millis kAccepting = 500;                   // of a drain
-constexpr std::size_t kOtherDescriptors = 32;        // listeners, sources, files, the log
+constexpr Millis kAccepting = 500;                                   // of a drain
+constexpr std::size_t kOtherDescriptors = 32;                        // listeners, sources, files, the log
 
 std::uint64_t entropy() {
     std::random_device device;
@@ -97,6 +97,8 @@
         return !daemon_.gate_.grow(hold_.ticket(), bytes - held);
     }
 
+    FleetLimits::Hold of_fleet;
+
 private:
     Daemon& daemon_;
     limits::Hold hold_;
@@ -113,9 +115,11 @@
                    }),
       gate_(services.requests, services.bytes),
       wake_(io, clock_, [this] { engine_.run_due(); }),
-      transport_(io, log_, {250, 14000, services.descriptors, kSettle, kSettleCareful, kDoubt}, &descriptors_),
-      directory_(make_directory(io, log_, descriptors_,
-                                [this](MachineId machine) { engine_.notice(machine, options_.notice_hold); })),
+      transport_(io, log_, {250, 14000, services.descriptors, kSettle, kSettleCareful, kDoubt},
+                 &descriptors_),
+      directory_(
+          make_directory(io, log_, descriptors_,
+                         [this](MachineId machine) { engine_.notice(machine, options_.notice_hold); })),
       engine_(clock_,
               {[this](Millis at) { wake_.at(at); }, [this](const std::string& text) { log_.line(text); }}),
       random_state_(services.seed ? *services.seed : entropy()),
@@ -350,7 +354,10 @@
             e.listener = std::make_unique<Front>(
                 io_, address, places,
                 Front::Callbacks{[this, &e](const auto& head) { return place(e, head); },
-                                 [this, &e](const std::string& pool) { return admit(e, pool); }, over, log},
+                                 [this, &e](const std::string& pool, const std::string& request_class) {
+                                     return admit(e, pool, request_class);
+                                 },
+                                 over, log},
                 budget);
         else
             e.listener = std::make_unique<Web>(
@@ -365,7 +372,9 @@
                                               : Web::PoolView{at->second.pool,
                                                               &at->second.config.class_names};
                                },
-                               [this, &e](const std::string& pool) { return admit(e, pool); },
+                               [this, &e](const std::string& pool, const std::string& request_class) {
+                                   return admit(e, pool, request_class);
+                               },
                                [this] { return random(); }, over, log},
                 budget);
     } catch (const std::exception& error) {
@@ -382,8 +391,10 @@
             return at == services_.end() ? Directory::PoolView{}
                                          : Directory::PoolView{at->second.pool, &at->second.config};
         },
-        [this, &e](const std::string& pool) { return admit(e, pool); }, [this, &e] { drained(e); },
-        [this](const std::string& text) { log_.line(text); }};
+        [this, &e](const std::string& pool, const std::string& request_class) {
+            return admit(e, pool, request_class);
+        },
+        [this, &e] { drained(e); }, [this](const std::string& text) { log_.line(text); }};
     return directory_->open(plan, e.config, e.index, listen, places, std::move(callbacks), budget);
 }
 
@@ -424,17 +435,24 @@
 // ---- Requests
 // ---------------------------------------------------------------------------------------------------
 
-Admission Daemon::admit(const Entrance& entrance, const std::string& pool) {
+// What the process itself can't hold is asked first: the fleet's part is not spent on it.
+Admission Daemon::admit(const Entrance& entrance, const std::string& pool, const std::string& request_class) {
     const auto service = services_.find(pool);
     gate_.at(clock_.now());
     auto admission = gate_.admit(entrance.member,
                                  service == services_.end() ? limits::Member{} : service->second.member, 0);
-    if (!admission.refusal) return {std::make_unique<Grant>(*this, std::move(admission.ticket)), false, 0};
-    const limits::Refusal& refusal = *admission.refusal;
     // Spread, or all that are refused now come back together.
-    const Millis hint = refusal.retry_after.value_or(1000);
-    const double spread = 1 + static_cast<double>(random() >> 11) * 0x1.0p-53;
-    return {nullptr, refusal.side == limits::Side::listener, hint * spread};
+    const auto spread = [this](Millis hint) {
+        return hint * (1 + static_cast<double>(random() >> 11) * 0x1.0p-53);
+    };
+    if (admission.refusal)
+        return {nullptr, admission.refusal->side == limits::Side::listener,
+                spread(admission.refusal->retry_after.value_or(1000))};
+    auto grant = std::make_unique<Grant>(*this, std::move(admission.ticket));
+    if (!fleet_) return {std::move(grant), false, 0};
+    const auto wait = fleet_->admit(pool, request_class, grant->of_fleet);
+    if (wait) return {nullptr, false, spread(*wait)};
+    return {std::move(grant), false, 0};
 }
 
 // The platform's profile: by host, path and class to a pool that knows the class.
--- a/src/app/daemon.hpp
+++ b/src/app/daemon.hpp
@@ -103,7 +103,7 @@
     void finish();
     void retire(std::unique_ptr<Entrance> entrance);
     void drained(Entrance& entrance);
-    Admission admit(const Entrance& entrance, const std::string& pool);
+    Admission admit(const Entrance& entrance, const std::string& pool, const std::string& request_class);
     std::optional<Front::Place> place(const Entrance& entrance,
                                       const boost::beast::http::request_header<>& head);
     std::uint64_t random();
--- a/src/app/fleet.cpp
+++ b/src/app/fleet.cpp
@@ -59,14 +59,40 @@
 }  // namespace
 
 Fleet::Fleet(boost::asio::io_context& io, const Clock& clock, const config::Fleet& config, std::uint64_t seed)
-    : io_(io), seed_(seed), agent_(opened(config, [&] {
-          return FleetAgent(io, clock, settings_of(config, seed),
-                            {[this](const FleetAgent::MemberEvent& event) { tell(event); },
-                             [this](const fleet::StandingChanged& change) { tell(change); }});
-      })) {
+    : io_(io),
+      seed_(seed),
+      agent_(opened(config,
+                    [&] {
+                        return FleetAgent(io, clock, settings_of(config, seed),
+                                          {[this](const FleetAgent::MemberEvent& event) { tell(event); },
+                                           [this](const fleet::StandingChanged& change) { tell(change); },
+                                           [this](fleet::Key from, const fleet::Item& item) {
+                                               if (item.subsystem == fleet::Limits::kSubsystem)
+                                                   limits_.receive(from, item);
+                                           }});
+                    })),
+      limits_(
+          io, clock, seed,
+          [this](fleet::Key to, const std::vector<fleet::Item>& items) { agent_.tell(to, items); },
+          [this] { return absent(); }) {
+    limits_.configure(fleet::key_of(config.self), config.limits, keys());
     control_ = open(config.control);
 }
 
+std::vector<fleet::Key> Fleet::keys() const {
+    std::vector<fleet::Key> all;
+    for (const FleetAgent::Member& member : agent_.settings().members)
+        all.push_back(fleet::key_of(member.name));
+    return all;
+}
+
+std::vector<fleet::Key> Fleet::absent() const {
+    std::vector<fleet::Key> all;
+    for (const auto& peer : agent_.membership().peers())
+        if (peer.state >= fleet::State::failed) all.push_back(peer.key);
+    return all;
+}
+
 std::unique_ptr<control::Server> Fleet::open(const std::string& path) {
     if (path.empty()) return nullptr;
     return std::make_unique<control::Server>(io_, path,
@@ -82,6 +108,7 @@
 
 void Fleet::adopt(Change change) {
     agent_.adopt(std::move(change.agent));
+    limits_.configure(fleet::key_of(change.config.self), change.config.limits, keys());
     if (change.control || change.config.control.empty()) control_ = std::move(change.control);
 }
 
@@ -92,6 +119,12 @@
     const bool watch = command == "fleet watch";
     if (command == "fleet members" || watch)
         return {true, "", std::make_shared<const Json>(members()), watch};
+    if (command == "fleet limits") {
+        const Json result{{"self", agent_.settings().self},
+                          {"standing", fleet::name_of(agent_.standing())},
+                          {"limits", limits_.report()}};
+        return {true, "", std::make_shared<const Json>(result), false};
+    }
     return {false, "no such command: " + command.substr(0, 64), nullptr, false};
 }
 
--- a/src/app/fleet.hpp
+++ b/src/app/fleet.hpp
@@ -6,6 +6,7 @@
 #include <nlohmann/json_fwd.hpp>
 #include <optional>
 
+#include "app/fleet_limits.hpp"
 #include "config/services.hpp"
 #include "control/server.hpp"
 #include "io/clock.hpp"
@@ -32,18 +33,27 @@
     void drain() { agent_.set_draining(true); }
     void leave() { agent_.leave(); }
 
+    // Of a request: see FleetLimits.
+    std::optional<Millis> admit(const std::string& pool, const std::string& request_class,
+                                FleetLimits::Hold& hold) {
+        return limits_.admit(pool, request_class, hold);
+    }
+
     const FleetAgent& agent() const { return agent_; }
 
 private:
     std::unique_ptr<control::Server> open(const std::string& path);
     control::Answer answer(const nlohmann::json& request) const;
     nlohmann::json members() const;
+    std::vector<fleet::Key> keys() const;
+    std::vector<fleet::Key> absent() const;
     void tell(const FleetAgent::MemberEvent& event);
     void tell(const fleet::StandingChanged& change);
 
     boost::asio::io_context& io_;
     std::uint64_t seed_;
     FleetAgent agent_;
+    FleetLimits limits_;
     std::unique_ptr<control::Server> control_;  // null: the file names none
 };
 
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -137,6 +137,8 @@
         auto* const fleet = app_.add_subcommand("fleet", "Asks a running process about its fleet");
         fleet->require_subcommand(1);
         add_question(*fleet, "members", "Who is there, as that process believes", whinledge::ask_members);
+        add_question(*fleet, "limits", "What of each fleet-wide limit that process has",
+                     whinledge::ask_limits);
         add_question(*fleet, "watch", "The same, then each change as it happens", whinledge::watch_fleet);
     }
     using Ask = int (*)(const whinledge::Question&, std::ostream&, std::ostream&);
--- a/src/config/diff.cpp
+++ b/src/config/diff.cpp
@@ -137,6 +137,7 @@
         .key("self", a->self == b->self, Change::replaced)
         .key("probe_period", a->probe_period == b->probe_period, Change::replaced)
         .key("member", by_name(a->members) == by_name(b->members), Change::in_place)
+        .key("limit", a->limits == b->limits, Change::in_place)
         .key("control", a->control == b->control, Change::in_place)
         .result();
 }
--- a/src/config/print.cpp
+++ b/src/config/print.cpp
@@ -232,6 +232,13 @@
     lines.add("fleet " + f.name + ": " + f.self + " of " + std::to_string(f.members.size()) +
               ", probes each " + format_duration(f.probe_period) + ", control " +
               (f.control.empty() ? "-" : whole(f.control)));
+    for (const Fleet::Limit& l : f.limits)
+        lines.add("fleet " + f.name + " limit " + l.name + ": of pool " + l.pool + ", " +
+                  list(l.classes, "all classes", [](const std::string& name) { return name; }) + ": " +
+                  (l.open > 0
+                       ? std::to_string(l.open) + " open at once, each for " + format_duration(l.longest)
+                       : number(l.rate) + " a second, " + number(l.burst) + " at once") +
+                  ", strict, leases of " + format_duration(l.lease));
     for (const Fleet::Member& m : f.members)
         lines.add("fleet " + f.name + " member " + m.name + ": " + m.address);
 }
--- a/src/config/services.hpp
+++ b/src/config/services.hpp
@@ -95,10 +95,21 @@
         std::string name, address;  // UDP, IP:PORT
         bool operator==(const Member&) const = default;
     };
+    // Of requests of these classes to that pool, by the whole fleet; never over.
+    struct Limit {
+        std::string name, pool;
+        std::vector<std::string> classes;  // empty: all
+        double rate = 0, burst = 1;        // a second, and at once beyond it; 0: none of this kind
+        std::size_t open = 0;              // at once; 0: none of this kind
+        Millis lease = 4000;
+        Millis longest = 15000;  // of open: a request ends within that time
+        bool operator==(const Limit&) const = default;
+    };
     std::string name, self;
     std::string control;          // path of a Unix socket; empty: none
     Millis probe_period = 1000;   // P
     std::vector<Member> members;  // self among them
+    std::vector<Limit> limits;
     int line = 0;
     const Member& own() const;
     bool operator==(const Fleet&) const = default;
--- a/src/fleet/allotment.cpp
+++ b/src/fleet/allotment.cpp
@@ -98,6 +98,14 @@
     return sum;
 }
 
+Millis Allotment::stale(Millis now) const {
+    Millis oldest = 0;
+    for (const Debt& debt : debts_)
+        if (debt.held > 0 && now < debt.until)
+            oldest = std::max(oldest, now - (debt.until - settings_.lease));
+    return oldest;
+}
+
 // While a change lowers our part, more may be lent than it is now.
 Units Allotment::usable(Millis now) const { return less(holdable(now), lent(now)) + borrowed(now); }
 
--- a/src/fleet/allotment.hpp
+++ b/src/fleet/allotment.hpp
@@ -101,6 +101,9 @@
     // greater of both limits meanwhile.
     void change(Millis now, Units units, const std::vector<Key>& members);
 
+    // How long ago the oldest question was put that something is still held by; 0: nothing is borrowed.
+    Millis stale(Millis now) const;
+
     Millis borrower_lease() const { return settings_.lease; }
     Millis lender_lease() const;
     Units units() const { return settings_.units; }
--- a/src/fleet/limits.cpp
+++ b/src/fleet/limits.cpp
@@ -191,25 +191,25 @@
 }
 
 Item item_of(Key limit, const Grant& g) { return item_of({limit, What::grant, g.number, g.amount}); }
-Item item_of(Key limit, const Allotment::Tell& tell) {
+Item item_of(Key limit, std::uint64_t life, const Allotment::Tell& tell) {
     if (const auto* const a = std::get_if<Ask>(&tell.what))
-        return item_of({limit, What::ask, a->number, a->keep, a->want, a->lease});
+        return item_of({limit, What::ask, a->number, a->keep, a->want, a->lease, life});
     if (const auto* const g = std::get_if<Grant>(&tell.what)) return item_of(limit, *g);
     return item_of({limit, What::recall});
 }
 
-// The numbers of an item, all within 32 bits; none: it is no item of ours.
-std::optional<std::vector<std::uint32_t>> numbers_of(const Item& item) {
+// The numbers of an item, all but a life within 32 bits; none: it is no item of ours.
+std::optional<std::vector<std::uint64_t>> numbers_of(const Item& item) {
+    constexpr std::size_t kLife = 6, sizes[] = {7, 4, 2};
     const Json whole = Json::from_msgpack(item.bytes, true, false);
-    if (!whole.is_array() || whole.size() < 2 || whole.size() > 6) return std::nullopt;
-    std::vector<std::uint32_t> numbers;
+    if (!whole.is_array() || whole.size() < 2 || whole.size() > kLife + 1) return std::nullopt;
+    std::vector<std::uint64_t> numbers;
     for (const Json& one : whole) {
         if (!one.is_number_unsigned()) return std::nullopt;
-        const auto n = one.get<std::uint64_t>();
-        if (n > std::numeric_limits<std::uint32_t>::max()) return std::nullopt;
-        numbers.push_back(static_cast<std::uint32_t>(n));
+        numbers.push_back(one.get<std::uint64_t>());
+        if (numbers.size() <= kLife && numbers.back() > std::numeric_limits<std::uint32_t>::max())
+            return std::nullopt;
     }
-    constexpr std::size_t sizes[] = {6, 4, 2};
     if (numbers[1] > recall || numbers.size() != sizes[numbers[1]]) return std::nullopt;
     return numbers;
 }
@@ -247,23 +247,21 @@
     limits_ = std::move(next);
 }
 
-void Limits::receive(Millis now, Key from, Incarnation life, const Item& item, std::vector<Send>& out) {
+void Limits::receive(Millis now, Key from, const Item& item, std::vector<Send>& out) {
     const auto n = numbers_of(item);
-    Limit* const limit = n ? find((*n)[0]) : nullptr;
+    const auto at = [&](std::size_t i) { return static_cast<std::uint32_t>((*n)[i]); };
+    Limit* const limit = n ? find(Key{at(0)}) : nullptr;
     if (!limit) {
         ++unreadable_;
         return;
     }
-    switch ((*n)[1]) {
-        case ask:
-            if (const auto answer = limit->receive(now, from, life, Ask{(*n)[2], (*n)[3], (*n)[4], (*n)[5]}))
-                out.push_back({from, item_of((*n)[0], *answer)});
-            break;
-        case grant:
-            limit->receive(now, from, Grant{(*n)[2], (*n)[3]});
-            break;
-        default:
-            limit->receive_recall(now, from);
+    if (at(1) == ask) {
+        if (const auto answer = limit->receive(now, from, (*n)[6], Ask{at(2), at(3), at(4), at(5)}))
+            out.push_back({from, item_of(at(0), *answer)});
+    } else if (at(1) == grant) {
+        limit->receive(now, from, Grant{at(2), at(3)});
+    } else {
+        limit->receive_recall(now, from);
     }
 }
 
@@ -272,7 +270,7 @@
         if (now < limit.due()) continue;
         const Key key = key_of(limit.spec().name);
         for (const Allotment::Tell& tell : limit.tick(now, absent))
-            out.push_back({tell.to, item_of(key, tell)});
+            out.push_back({tell.to, item_of(key, life_, tell)});
     }
 }
 
--- a/src/fleet/limits.hpp
+++ b/src/fleet/limits.hpp
@@ -105,7 +105,8 @@
         Item item;
     };
 
-    Limits(Key self, std::uint64_t seed) : self_(self), seed_(seed) {}
+    // `life`: of this process, higher with each start; unlike an incarnation it is never raised.
+    Limits(Key self, std::uint64_t life, std::uint64_t seed) : self_(self), life_(life), seed_(seed) {}
 
     // Those that stay, by name and kind, keep what they have; others begin as after a start. `first`: this
     // process has lent nothing in an earlier life that others may still use.
@@ -116,7 +117,7 @@
     const std::vector<Limit>& all() const { return limits_; }
 
     // An item of kSubsystem; what can't be read is dropped and counted.
-    void receive(Millis now, Key from, Incarnation life, const Item& item, std::vector<Send>& out);
+    void receive(Millis now, Key from, const Item& item, std::vector<Send>& out);
     void tick(Millis now, const std::vector<Key>& absent, std::vector<Send>& out);
     Millis due() const;
     std::uint64_t unreadable() const { return unreadable_; }
@@ -125,7 +126,7 @@
     Limit* find(Key key);
 
     Key self_;
-    std::uint64_t seed_;
+    std::uint64_t life_, seed_;
     std::vector<Limit> limits_;
     std::uint64_t unreadable_ = 0;
 };
--- a/src/fleetsim/limit_fleet.cpp
+++ b/src/fleetsim/limit_fleet.cpp
@@ -22,9 +22,9 @@
 }
 
 void LimitFleet::start(std::size_t i) {
-    nodes_[i].limits = std::make_unique<fleet::Limits>(keys_[i], random_());
-    nodes_[i].limits->configure(now_, {options_.spec}, keys_);
     nodes_[i].life = next_life_++;
+    nodes_[i].limits = std::make_unique<fleet::Limits>(keys_[i], nodes_[i].life, random_());
+    nodes_[i].limits->configure(now_, {options_.spec}, keys_);
 }
 
 void LimitFleet::send(std::size_t i, const std::vector<fleet::Limits::Send>& all) {
@@ -59,7 +59,7 @@
             if (up(e.to) && nodes_[e.to].life == e.life) at(e.to).give_back(now_);
         } else if (up(e.to)) {
             std::vector<fleet::Limits::Send> out;
-            nodes_[e.to].limits->receive(now_, keys_[e.from], e.life, e.item, out);
+            nodes_[e.to].limits->receive(now_, keys_[e.from], e.item, out);
             send(e.to, out);
         }
     }
--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -403,7 +403,7 @@
         const auto call = call_;
         if (!place || place->site != site_) return call->refused(0);
         if (front_.callbacks_.admit) {
-            Admission admission = front_.callbacks_.admit(place->pool->name());
+            Admission admission = front_.callbacks_.admit(place->pool->name(), site_->classes.at(arrival_->class_index));
             if (!admission.grant) return call->refused(admission.retry_in);
             call->grant = std::move(admission.grant);
             call->grant->hold(call->size());
--- a/src/http/web.cpp
+++ b/src/http/web.cpp
@@ -442,10 +442,11 @@
             !expected.empty() && !boost::beast::iequals(expected, "100-continue"))
             return reject(417), false;
         call_ = std::make_shared<Exchange>(std::static_pointer_cast<Client>(shared_from_this()));
+        call_->class_name = class_of(head, route.handling);
         if (web_.callbacks_.admit) {
-            Admission admission = web_.callbacks_.admit(pool_name);
+            Admission admission = web_.callbacks_.admit(pool_name, call_->class_name);
             if (!admission.grant) {
-                Reply reply = plain(admission.of_listener ? 429 : 503, "over the limit of open requests");
+                Reply reply = plain(admission.of_listener ? 429 : 503, "over a limit");
                 set_retry_after(reply, admission.retry_in);
                 call_.reset();
                 return say_early(std::move(reply)), false;
@@ -458,7 +459,6 @@
         call_->is_head = head_request_;
         call_->has_body = parser_->chunked() || parser_->content_length();
         if (const auto length = parser_->content_length()) call_->length = *length;
-        call_->class_name = class_of(head, route.handling);
         outgoing_head(head, target, found, call_->head);
         // Nobody who speaks HTTP/1.0 knows of it (RFC 9110, 10.1.1).
         if (has_body_ && version_ == 11 && pending_.empty() && !head[http::field::expect].empty()) {
--- a/src/ldap/listener.cpp
+++ b/src/ldap/listener.cpp
@@ -374,11 +374,11 @@
         op->route = &route;
         op->pool_name = route.pool;
         if (owner_.callbacks_.admit) {
-            Admission admission = owner_.callbacks_.admit(route.pool);
+            Admission admission = owner_.callbacks_.admit(route.pool, class_of(op->request, route.handling));
             if (!admission.grant)
                 return binding_ = false,
                        result(*op, busy,
-                              harmless(admission.retry_in) + ": over the limit of open operations");
+                              harmless(admission.retry_in) + ": over a limit");
             op->grant = std::move(admission.grant);
         }
         const auto at =
--- a/src/listen/admission.hpp
+++ b/src/listen/admission.hpp
@@ -24,7 +24,7 @@
     Millis retry_in = 0;           // a hint, in milliseconds
 };
 
-// By the pool's name; empty: everybody is let in.
-using Admit = std::function<Admission(const std::string& pool)>;
+// By the names of the pool and of the request's class; empty: everybody is let in.
+using Admit = std::function<Admission(const std::string& pool, const std::string& request_class)>;
 
 }  // namespace whinledge
--- a/src/peers/fleet_agent.cpp
+++ b/src/peers/fleet_agent.cpp
@@ -146,9 +146,36 @@
         ++unread_[static_cast<std::size_t>(fleet::Fault::out_of_bounds)];
         return;
     }
+    const fleet::Dropped before = membership_->dropped();
     fleet::FleetActions actions;
     membership_->receive(clock_.now(), *read.datagram, actions);
     carry_out(actions);
+    // What membership dropped says nothing to others either.
+    const fleet::Dropped& after = membership_->dropped();
+    const auto peer = membership_->peer(read.datagram->from);
+    if (after.flood != before.flood || !peer || peer->incarnation != read.datagram->incarnation) return;
+    for (const fleet::Item& item : read.datagram->items)
+        if (listener_.item) listener_.item(read.datagram->from, item);
+}
+
+void FleetAgent::tell(fleet::Key to, const std::vector<fleet::Item>& items) {
+    const auto at = by_key_.find(to);
+    if (left_ || at == by_key_.end()) return;
+    fleet::Datagram d;
+    d.fleet = fleet::key_of(settings_.fleet);
+    d.from = membership_->self();
+    d.incarnation = membership_->incarnation();
+    d.draining = membership_->draining();
+    d.kind = fleet::Kind::news;
+    d.view = membership_->view();
+    for (const fleet::Item& item : items) {
+        if (fleet::size_of(item) > fleet::room_in(d)) {
+            peers_->tell(at->second, fleet::encode(d));
+            d.items.clear();
+        }
+        d.items.push_back(item);
+    }
+    if (!d.items.empty()) peers_->tell(at->second, fleet::encode(d));
 }
 
 void FleetAgent::carry_out(const fleet::FleetActions& actions) {
--- a/src/peers/fleet_agent.hpp
+++ b/src/peers/fleet_agent.hpp
@@ -44,6 +44,8 @@
     struct Listener {
         std::function<void(const MemberEvent&)> member;
         std::function<void(const fleet::StandingChanged&)> standing;
+        // What another subsystem of a member says.
+        std::function<void(fleet::Key from, const fleet::Item&)> item;
     };
 
     // Listens at once; the first probe goes out within P. Throws boost::system::system_error where it can't
@@ -63,6 +65,9 @@
     Change prepare(Settings settings);
     void adopt(Change change);
 
+    // Items of other subsystems to one member, at once, in as many datagrams as they need.
+    void tell(fleet::Key to, const std::vector<fleet::Item>& items);
+
     // This member empties, or no longer; the others learn it with the next datagrams.
     void set_draining(bool draining);
     // It ends in good order: tells some others at once. Nothing is sent or heard afterwards.
--- a/tests/unit/fleet_limits_test.cpp
+++ b/tests/unit/fleet_limits_test.cpp
@@ -143,7 +143,7 @@
         item.bytes.resize(random() % 40);
         for (auto& byte : item.bytes) byte = static_cast<std::uint8_t>(random());
         if (!item.bytes.empty() && i % 2) item.bytes[0] = 0x92 + static_cast<std::uint8_t>(random() % 5);
-        f.limits(0).receive(f.now(), fleet::key_of("s1"), 1, item, out);
+        f.limits(0).receive(f.now(), fleet::key_of("s1"), item, out);
     }
     EXPECT_EQ(f.limits(0).unreadable(), 20000u) << "noise hits no limit's key";
     EXPECT_TRUE(out.empty());
