--- a/src/fleet/membership.cpp
+++ b/src/fleet/membership.cpp
@@ -142,6 +142,7 @@
     if (late <= tuning_.still * settings_.period) return;
     if (!tuning_.forgives_itself) return;
     for (const Key key : suspects_) find(key)->suspected_at += late;
+    suspicion_ends_ += late;
     probes_.clear();
     errands_.clear();
     heard_at_ += late;
@@ -160,8 +161,7 @@
                                                                    : p.again_at);
     for (const Errand& e : errands_) next = std::min(next, e.ends_at);
     if (must_refute_) next = std::min(next, refuted_at_ + tuning_.refute_every * settings_.period);
-    // Suspicions end with the rounds: a period is fine enough, and thousands of them need no look each.
-    return next;
+    return suspects_.empty() ? next : std::min(next, suspicion_ends_);
 }
 
 void Membership::tick(Millis now, FleetActions& actions) {
@@ -177,7 +177,10 @@
         e = errands_.erase(e);
     }
     if (must_refute_ && now_ >= refuted_at_ + tuning_.refute_every * settings_.period) refute(now_, actions);
-    if (now_ >= round_at_) round(now_, actions);
+    if (now_ >= round_at_)
+        round(now_, actions);
+    else if (!suspects_.empty() && now_ >= suspicion_ends_)
+        run_suspicions(now_, actions);
     flush(now_, actions);
 }
 
@@ -516,6 +519,7 @@
     const bool new_teller =
         std::find(e.teller.begin(), known, teller) == known && e.tellers < e.teller.size();
     if (new_teller) e.teller[e.tellers++] = teller;
+    suspicion_ends_ = std::min(suspicion_ends_, expires_at(e));
     if (!new_teller) return;
     if (!hearsay) spread(e, now);
     if (fresh && !ours && unit() * static_cast<double>(size()) < tuning_.verifiers)
@@ -534,18 +538,16 @@
     // Who hears nobody doubts himself: then nobody fails by his word.
     const bool deaf =
         now - heard_at_ > tuning_.grace * settings_.period && size() > 1 && !tuning_.deaf_fails_others;
-    if (deaf) {
-        for (const Key key : suspects_) {
-            Entry& e = *find(key);
-            e.suspected_at =
-                std::max(e.suspected_at, now - suspicion_least() + tuning_.grace * settings_.period);
-        }
-        return;
-    }
+    const Millis oldest = now - suspicion_least() + tuning_.grace * settings_.period;
     const std::vector<Key> all = suspects_;
+    suspicion_ends_ = 1e18;
     for (const Key key : all) {
         Entry& e = *find(key);
-        if (now < expires_at(e)) continue;
+        if (deaf) e.suspected_at = std::max(e.suspected_at, oldest);
+        if (now < expires_at(e)) {
+            suspicion_ends_ = std::min(suspicion_ends_, expires_at(e));
+            continue;
+        }
         become(e, e.becomes, e.seen.incarnation, e.seen.draining, actions);
         spread(e, now);
     }
--- a/src/fleet/types.hpp
+++ b/src/fleet/types.hpp
@@ -16,15 +16,8 @@
 // A life of a member: Unix time of its start in ms, raised by the member itself to contradict a rumour.
 using Incarnation = std::uint64_t;
 
-// FNV-1a with a finalizer; the same on every machine. Never 0, which stands for nobody.
-constexpr Key key_of(std::string_view name) {
-    std::uint64_t hash = 0xcbf29ce484222325;
-    for (const char c : name) hash = (hash ^ static_cast<unsigned char>(c)) * 0x100000001b3;
-    hash ^= hash >> 32;
-    hash *= 0x9e3779b97f4a7c15;
-    const auto key = static_cast<Key>(hash >> 32);
-    return key == 0 ? 1 : key;
-}
+// XXH3's; the same on every machine. Never 0, which stands for nobody.
+Key key_of(std::string_view name);
 
 // In the order in which one replaces another within an incarnation.
 enum class State : std::uint8_t { alive, suspect, failed, left };
