--- a/tests/fleet/checks.cpp
+++ b/tests/fleet/checks.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstdio>
+#include <deque>
 #include <functional>
 #include <limits>
 #include <map>
@@ -286,6 +287,56 @@
     std::string first_;
 };
 
+// In any window of that length, by when servers had read them.
+class Received final : public Base {
+public:
+    using Base::Base;
+    void see(const Event& event) override {
+        const auto* const served = std::get_if<Served>(&event.what);
+        last_ = event.at;
+        if (!served || !window_.has(event.at)) return;
+        ++count_;
+        recent_.push_back(event.at);
+        while (recent_.front() <= event.at - condition_.window) recent_.pop_front();
+        most_ = std::max(most_, recent_.size());
+    }
+
+private:
+    double a_second() const {
+        const Millis length = std::min(last_, window_.until) - window_.from;
+        return length > 0 ? static_cast<double>(count_) * 1000 / length : 0;
+    }
+    bool passed() const override {
+        return (condition_.most <= 0 || static_cast<double>(most_) <= condition_.most) &&
+               a_second() >= condition_.least;
+    }
+    std::string seen() const override {
+        return std::to_string(most_) + " in " + number(condition_.window, 0) + " ms at most (bound " +
+               number(condition_.most, 0) + "), " + number(a_second()) + " a second on the mean (least " +
+               number(condition_.least) + ")";
+    }
+    std::deque<Millis> recent_;
+    std::size_t count_ = 0, most_ = 0;
+    Millis last_ = 0;
+};
+
+class Open final : public Base {
+public:
+    using Base::Base;
+    void see(const Event& event) override {
+        const auto* const served = std::get_if<Served>(&event.what);
+        if (served && window_.has(event.at)) most_ = std::max(most_, served->open), ++count_;
+    }
+
+private:
+    bool passed() const override { return count_ > 0 && static_cast<double>(most_) <= condition_.most; }
+    std::string seen() const override {
+        return std::to_string(most_) + " at once at most (bound " + number(condition_.most, 0) + "), " +
+               std::to_string(count_) + " requests";
+    }
+    std::size_t most_ = 0, count_ = 0;
+};
+
 class Datagrams final : public Base {
 public:
     using Base::Base;
@@ -398,6 +449,10 @@
             return make<Ended>(c, cast, zero);
         case Kind::memory:
             return make<Memory>(c, cast, zero);
+        case Kind::received:
+            return make<Received>(c, cast, zero);
+        case Kind::open:
+            return make<Open>(c, cast, zero);
     }
     return nullptr;
 }
--- a/tests/fleet/fleet_test.cpp
+++ b/tests/fleet/fleet_test.cpp
@@ -100,6 +100,24 @@
     EXPECT_EQ(outcome.detections[0].took.size(), 2u);
 }
 
+// The same limit where each member's file names itself alone, so that each has all of it to itself.
+TEST(FleetRig, ALimitThatIsNotSharedIsFoundByWhatServersReceived) {
+    const std::string limited =
+        kSmall +
+        "limits = \"\"\"\n[[fleet.limit]]\nname = \"l\"\npool = \"servers\"\nrate = 30\n"
+        "burst = 3\nlease = \"500ms\"\n\"\"\"\n"
+        "[[step]]\ndo = \"demand\"\nfrom = \"all\"\nrate = 40\nfor = \"4s\"\nat = \"2s\"\n"
+        "[[condition]]\nwant = \"received\"\nmost = 45\n";
+    std::string alone = limited;
+    for (const std::string self : {"s1", "s2", "s3"})
+        alone += "[[step]]\ndo = \"list\"\nmembers = \"" + self + "\"\nfleet = \"" + self + "\"\n";
+    const Folder folder("not-shared");
+    const Outcome shared = run(parse_experiment(limited, "small.toml"), WHINLEDGE, folder.path());
+    EXPECT_TRUE(shared.passed) << of(shared, "received").seen;
+    const Outcome unshared = run(parse_experiment(alone, "small.toml"), WHINLEDGE, folder.path());
+    EXPECT_FALSE(of(unshared, "received").passed) << of(unshared, "received").seen;
+}
+
 TEST(FleetRig, AProcessThatEndsByItselfFails) {
     const Experiment experiment =
         parse_experiment(kSmall + "[[condition]]\nwant = \"no_repeats\"\n", "small.toml");
--- a/tests/fleet/processes.hpp
+++ b/tests/fleet/processes.hpp
@@ -23,6 +23,7 @@
     Millis period = 1000, drain = 1000;
     std::vector<std::string> servers;                          // addresses
     std::vector<std::pair<std::string, std::string>> members;  // names, and addresses as this node sees them
+    std::string limits;                                        // as the file has them
     std::string text() const;
 };
 
@@ -38,6 +39,8 @@
 
     // Its file names these members alone from now on (self always); takes effect by start() or SIGHUP.
     void list(Node node, const std::vector<Member>& fleet);
+    // Likewise these limits, in place of the experiment's.
+    void limit(Node node, const std::string& limits);
     void start(Node node);
     // To a process that runs; false: none does.
     bool signal(Node node, int signal);
@@ -61,6 +64,8 @@
     const Experiment& experiment_;
     const Places& places_;
     asio::signal_set children_;
+    std::vector<std::vector<Member>> fleets_;  // of each node's file
+    std::vector<std::string> limits_;
     std::vector<pid_t> pids_;  // 0: none
 };
 
--- a/tests/fleet/record.hpp
+++ b/tests/fleet/record.hpp
@@ -55,6 +55,7 @@
 struct Served {  // a request as a stand-in server saw it
     std::size_t server = 0;
     std::string id, method;
+    std::size_t open = 1;  // at all servers then, this one included
 };
 struct Called {  // a request as its client saw it; recorded at its end
     Node node = 0;
--- a/tests/fleet/timeline.cpp
+++ b/tests/fleet/timeline.cpp
@@ -137,6 +137,14 @@
             at(now + step.lasts, [this, id] { stage_.connections.remove(id); });
             break;
         }
+        case Step::Do::limits:
+            limits(step);
+            break;
+        case Step::Do::demand: {
+            const auto lasts = stage_.demand(step);
+            at(now + step.lasts, [lasts] {});
+            break;
+        }
         case Step::Do::tape:
             tapes_[step.tape] = {&step, {}, true};
             at(now + step.lasts, [this, &step] { tapes_[step.tape].runs = false; });
@@ -195,6 +203,13 @@
     }
 }
 
+void Timeline::limits(const Step& step) {
+    for (const Node n : step.members) {
+        stage_.processes.limit(n, step.limits);
+        stage_.processes.signal(n, SIGHUP);
+    }
+}
+
 void Timeline::heard(Node from, Node to, const DatagramRelay::Bytes& bytes) {
     if (keeps_last_) last_[{from, to}] = bytes;
     for (auto& [name, tape] : tapes_) {
--- a/tests/fleet/timeline.hpp
+++ b/tests/fleet/timeline.hpp
@@ -3,6 +3,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <functional>
 #include <list>
 #include <map>
 #include <memory>
@@ -30,6 +31,8 @@
     Links& links;
     DatagramRelay& datagrams;
     ConnectionRelay& connections;
+    // More requests begin; they end with what is returned.
+    std::function<std::shared_ptr<void>(const Step&)> demand;
 };
 
 class Timeline {
@@ -70,6 +73,7 @@
     void befall(const Step& step);
     void impostor(const Step& step);
     void list(const Step& step);
+    void limits(const Step& step);
     void play(const Step& step);
     void send_from(const std::shared_ptr<Source>& source);
     DatagramRelay::Bytes noise(Source& source, Node from, Node to);
