--- a/bench/fleet_ways.cpp
+++ b/bench/fleet_ways.cpp
@@ -58,8 +58,7 @@
 
 std::size_t kills_of(std::size_t members) { return members >= 5000 ? 2 : members >= 1000 ? 5 : 20; }
 
-// ---- All-to-all heartbeats
-// ----------------------------------------------------------------------------------
+// ---- All-to-all heartbeats --------------------------------------------------------------------------------
 
 class Heartbeats {
 public:
@@ -122,8 +121,7 @@
     double at_ = 0, wrong_ = 0;
 };
 
-// ---- Gossiped counters with phi accrual
-// ---------------------------------------------------------------------
+// ---- Gossiped counters with phi accrual -------------------------------------------------------------------
 
 class Gossip {
 public:
@@ -241,8 +239,7 @@
     double at_ = 0, wrong_ = 0;
 };
 
-// ---- A view agreed by a majority
-// ----------------------------------------------------------------------------
+// ---- A view agreed by a majority --------------------------------------------------------------------------
 
 class Majority {
 public:
@@ -419,8 +416,7 @@
     const std::size_t head_ = head_bytes();
 };
 
-// ---- SWIM as built
-// ------------------------------------------------------------------------------------------
+// ---- SWIM as built ----------------------------------------------------------------------------------------
 
 // A fleet whose members know one another already: what a start takes is measured elsewhere (fleet_sim).
 void acquaint(Fleet& fleet) {
