--- a/tests/unit/fleet_world.hpp
+++ b/tests/unit/fleet_world.hpp
@@ -89,4 +89,24 @@
     std::vector<Failure> failures;  // by whom, who, when
 };
 
+// A member that says what it likes, under its own name.
+struct Liar {
+    World& w;
+    std::size_t i;
+    void say(std::size_t to, const std::vector<fleet::Rumour>& rumours,
+             fleet::Kind kind = fleet::Kind::news) {
+        fleet::Datagram d;
+        d.fleet = fleet::key_of("simulated");
+        d.from = w.key(i);
+        d.incarnation = w.at(i).incarnation();
+        d.kind = kind;
+        d.rumours = rumours;
+        w.deliver(i, to, fleet::encode(d), 1);
+    }
+    fleet::Rumour of(std::size_t about, State state) const {
+        return {w.key(about), w.at(about).incarnation(), state, false, state == State::suspect ? w.key(i) : 0,
+                60000};
+    }
+};
+
 }  // namespace whinledge::fleetsim
