--- a/src/fleet/membership.cpp
+++ b/src/fleet/membership.cpp
@@ -481,7 +481,12 @@
     const bool ours = r.incarnation <= incarnation_;
     if (r.incarnation < incarnation_ || (r.incarnation == incarnation_ && r.state == State::alive)) return;
     // A later life than ours, long after our start, is no memory of ours.
-    if (!ours && now > began_at_ + 10 * settings_.period) actions.emplace_back(Disputed{r.incarnation});
+    // Told once in a while: the two of them contradict one another several times a P.
+    const Millis quiet_for = 10 * settings_.period;
+    if (!ours && now > began_at_ + quiet_for && now >= disputed_at_ + quiet_for) {
+        disputed_at_ = now;
+        actions.emplace_back(Disputed{r.incarnation});
+    }
     refute_above_ = std::max(refute_above_, r.incarnation);
     must_refute_ = true;
     if (now >= refuted_at_ + tuning_.refute_every * settings_.period) refute(now, actions);
--- a/src/fleet/membership.hpp
+++ b/src/fleet/membership.hpp
@@ -81,7 +81,7 @@
 struct StandingChanged {
     Standing from = Standing::alone, to = Standing::alone;
 };
-// Another process speaks under our name, or a rumour says so.
+// Another process speaks under our name, or a rumour says so. Once in 10 P at most.
 struct Disputed {
     Incarnation theirs = 0;
 };
@@ -245,7 +245,7 @@
     std::uint64_t rounds_ = 0;
     std::uint32_t next_number_;
     std::uint64_t random_;
-    Millis now_ = 0, began_at_ = -1, round_at_ = 0, heard_at_ = -1, refuted_at_ = -1e9;
+    Millis now_ = 0, began_at_ = -1, round_at_ = 0, heard_at_ = -1, refuted_at_ = -1e9, disputed_at_ = -1e9;
     bool must_refute_ = false;
     Incarnation refute_above_ = 0;
     Millis urgent_at_ = 0, heals_until_ = -1;
--- a/tests/unit/membership_test.cpp
+++ b/tests/unit/membership_test.cpp
@@ -267,6 +267,49 @@
     EXPECT_EQ(w.at(5).peer(w.key(3))->state, State::alive);
 }
 
+// A second process under member 3's name at its address: a datagram to it goes to either. Both notice, nobody
+// else suffers, and their contradicting each other costs a bounded share.
+TEST_P(Membership, TwoProcessesWithOneNameAreDisputed) {
+    World w(options(12));
+    w.settle();
+    fleet::MembershipSettings settings;
+    settings.fleet = fleet::key_of("simulated");
+    settings.self = w.key(3);
+    settings.born = w.at(3).incarnation() + 20000;
+    settings.seed = GetParam();
+    for (std::size_t i = 0; i < 12; ++i) settings.members.push_back(w.key(i));
+    fleet::Membership twin(settings);
+    std::uint64_t twin_disputes = 0, twin_sent = 0;
+    const auto carry_out = [&](const fleet::FleetActions& actions) {
+        for (const fleet::FleetAction& a : actions) {
+            twin_disputes += std::holds_alternative<fleet::Disputed>(a);
+            if (const auto* const tell = std::get_if<fleet::Tell>(&a))
+                ++twin_sent, w.deliver(3, *w.index(tell->to), fleet::encode(tell->datagram), 1);
+        }
+    };
+    std::vector<std::vector<std::uint8_t>> to_twin;
+    w.takes = [&](std::size_t, std::size_t to, const auto& bytes) {
+        if (to != 3 || w.random()() % 2) return false;
+        to_twin.push_back(bytes);
+        return true;
+    };
+    const auto before = w.counts().datagrams;
+    const Millis span = 60 * P;
+    for (const Millis until = w.now() + span; w.now() < until; w.run(w.now() + 5)) {
+        fleet::FleetActions actions;
+        for (const auto& bytes : std::exchange(to_twin, {}))
+            twin.receive(w.now(), *fleet::decode(bytes, settings.fleet).datagram, actions);
+        if (w.now() >= twin.due()) twin.tick(w.now(), actions);
+        carry_out(actions);
+    }
+    EXPECT_GT(w.counts().disputed + twin_disputes, 0u);
+    EXPECT_LE(w.counts().disputed + twin_disputes, 2 * 6u) << "each says so once in 10 P";
+    for (const auto& f : w.failures) EXPECT_EQ(std::get<1>(f), 3u);
+    EXPECT_TRUE(w.all_joined());
+    const auto sent = static_cast<double>(w.counts().datagrams - before + twin_sent);
+    EXPECT_LT(sent / 12 / (span / P), 12.0) << "datagrams a P of a member";
+}
+
 // ---- Files that differ
 // -------------------------------------------------------------------------------------
 
@@ -438,6 +481,52 @@
         one.told(5, State::suspect, 2) + one.told(5, State::suspect, 3) + one.told(5, State::suspect, 4), 0u);
 }
 
+// What is said of itself is contradicted where it could be meant, and followed nowhere else.
+TEST(MembershipOne, OfItselfItBelievesNothing) {
+    One one;
+    const auto after = [&](fleet::Incarnation incarnation, State state) {
+        one.run(P);
+        one.hears(2, {{1, incarnation, state, false, state == State::suspect ? fleet::Key{2} : 0, 0}});
+        return one.m->incarnation();
+    };
+    fleet::Incarnation now = one.m->incarnation();
+    EXPECT_EQ(after(now - 1, State::failed), now) << "of an earlier life";
+    EXPECT_EQ(after(now, State::alive), now) << "that is so";
+    for (const State state : {State::suspect, State::failed, State::left}) {
+        EXPECT_EQ(after(now, state), now + 1) << name_of(state);
+        now += 1;
+    }
+    EXPECT_EQ(after(now + 1000, State::failed), now + 1001);
+    now += 1001;
+    one.run(10 * P);
+    one.clear();
+    EXPECT_EQ(after(now + 7, State::alive), now + 8)
+        << "another's, or our own of before: ours has to be later";
+    const auto disputed = [](const fleet::FleetAction& a) {
+        return std::holds_alternative<fleet::Disputed>(a);
+    };
+    EXPECT_TRUE(std::any_of(one.actions.begin(), one.actions.end(), disputed));
+    now += 8;
+    const auto absurd = one.m->dropped().absurd;
+    EXPECT_EQ(after(now + 25 * 3600 * 1000, State::failed), now) << "more than a day ahead";
+    EXPECT_EQ(after(fleet::Incarnation{1} << 62, State::alive), now);
+    EXPECT_EQ(one.m->dropped().absurd, absurd + 2);
+}
+
+// A sender whose clock is a day and more ahead is dropped as a whole: it would never be contradicted again.
+TEST(MembershipOne, WhoComesFromATimeToComeIsNotHeard) {
+    One one;
+    const auto known = one.m->peer(4)->incarnation;
+    for (const fleet::Kind kind : {fleet::Kind::ping, fleet::Kind::ack, fleet::Kind::farewell}) {
+        fleet::Datagram d = one.head(4, kind);
+        d.incarnation += 25 * 3600 * 1000;
+        one.m->receive(one.now, d, one.actions);
+        EXPECT_EQ(one.m->peer(4)->incarnation, known);
+        EXPECT_EQ(one.m->peer(4)->state, State::alive);
+    }
+    EXPECT_EQ(one.m->dropped().absurd, 3u);
+}
+
 // ---- Cost
 // --------------------------------------------------------------------------------------------------
 
