Slips of [[fleet.limit]] are told, each as one line

Need: a limit that is read otherwise than meant is the worst place for a guess. Change: tests of its keys, bounds, print and difference.

--- a/tests/unit/fleet_config_test.cpp
+++ b/tests/unit/fleet_config_test.cpp
@@ -1,6 +1,8 @@
 // The fleet in a services file: each slip is one line, what is right is printed, what changes is told.
 #include <gtest/gtest.h>
 
+#include <array>
+
 #include "config/diff.hpp"
 #include "config/print.hpp"
 #include "config/read.hpp"
@@ -82,7 +84,7 @@
          "12: fleet.control: \"/" + std::string(59, 'x') +
              "...\" is not an absolute path, at most 107 printable ASCII characters"},
         {"self", "sefl = 1\nself",
-         "12: fleet.sefl: unknown key; known here: name, self, control, probe_period, member"},
+         "12: fleet.sefl: unknown key; known here: name, self, control, probe_period, member, limit"},
     };
     for (const Slip& slip : slips) {
         const Result result = read_services(kRest + with(kFleet, slip.from, slip.to), "f");
@@ -91,6 +93,52 @@
     }
 }
 
+const std::string kLimit = R"([[fleet.limit]]
+name = "deposits"
+pool = "a"
+classes = ["unsafe", "keyed"]
+rate = 200
+)";
+
+TEST(FleetConfig, LimitsAreReadAndPrinted) {
+    const Services s = right(kFleet + kLimit +
+                             "[[fleet.limit]]\nname = \"open\"\npool = \"a\"\nopen = 64\nlease = \"2s\"\n");
+    const std::string printed = print_services(s);
+    EXPECT_NE(
+        printed.find(
+            "fleet archive limit deposits: of pool a, unsafe, keyed: 200 a second, 40 at once, strict, "
+            "leases of 4s\nfleet archive limit open: of pool a, all classes: 64 open at once, each for 15s, "
+            "strict, leases of 2s\n"),
+        std::string::npos)
+        << printed;
+}
+
+TEST(FleetConfig, EachSlipOfALimitIsOneLine) {
+    const std::vector<std::array<std::string, 3>> slips{
+        {"name = \"deposits\"\n", "",
+         "fleet.limit[0].name: is missing; give the limit's name, the same at each member"},
+        {"pool = \"a\"", "pool = \"b\"", "fleet.limit.deposits.pool: there is no pool \"b\""},
+        {"\"keyed\"", "\"key\"", "fleet.limit.deposits.classes[1]: pool \"a\" has no class \"key\""},
+        {"rate = 200\n", "", "fleet.limit.deposits.rate: is missing; give rate (a second) or open (at once)"},
+        {"rate = 200", "rate = 200\nopen = 3", "fleet.limit.deposits.open: beside rate; give one of the two"},
+        {"rate = 200", "rate = 0", "fleet.limit.deposits.rate: 0 is out of range, 0.001 to 1000000000"},
+        {"rate = 200", "rate = 200\nburst = 0.5",
+         "fleet.limit.deposits.burst: 0.5 is out of range, 1 to 1000000000"},
+        {"rate = 200", "open = 2\nburst = 5", "fleet.limit.deposits.burst: of rate alone"},
+        {"rate = 200", "rate = 200\nlongest = \"1s\"", "fleet.limit.deposits.longest: of open alone"},
+        {"rate = 200", "rate = 200\nmode = \"loose\"",
+         "fleet.limit.deposits.mode: \"loose\" is none of: strict"},
+        {"rate = 200", "rate = 200\nlease = \"100ms\"",
+         "fleet.limit.deposits.lease: 100ms is out of range, 500ms to 1m"}};
+    for (const auto& [from, to, fault] : slips) {
+        const Result result = read_services(kRest + kFleet + with(kLimit, from, to), "f");
+        ASSERT_EQ(result.faults.size(), 1u) << fault;
+        const std::string text = result.faults[0].text();
+        EXPECT_EQ(text.substr(text.find(' ') + 1), fault);
+    }
+    EXPECT_FALSE(read_services(kRest + kFleet + kLimit + kLimit, "f").services) << "twice";
+}
+
 TEST(FleetConfig, WhatChangesIsTold) {
     const auto changes = [](const std::string& before, const std::string& after) {
         return describe(difference(right(before), right(after)));
@@ -103,6 +151,7 @@
               Lines{"fleet archive: changed in place (member)"});
     EXPECT_EQ(changes(kFleet, with(kFleet, "self", "control = \"/w\"\nself")),
               Lines{"fleet archive: changed in place (control)"});
+    EXPECT_EQ(changes(kFleet, kFleet + kLimit), Lines{"fleet archive: changed in place (limit)"});
     EXPECT_EQ(changes(kFleet, with(kFleet, "self = \"s1\"", "self = \"s2\"")),
               Lines{"fleet archive: replaced (self)"});
     EXPECT_EQ(changes(kFleet, with(kFleet, "self", "probe_period = \"2s\"\nself")),
