--- a/src/fleet/membership.cpp
+++ b/src/fleet/membership.cpp
@@ -155,10 +155,11 @@
     if (left_) return 1e18;
     if (began_at_ < 0) return now_;
     Millis next = round_at_;
-    for (const Probe& p : probes_)
-        next = std::min(next, p.asked || p.why != Probe::Why::turn ? p.ends_at
-                              : p.again                            ? p.asks_at
-                                                                   : p.again_at);
+    for (const Probe& p : probes_) {
+        next = std::min(next, p.ends_at);
+        if (p.pings > 0) next = std::min(next, p.again_at);
+        if (p.why == Probe::Why::turn && !p.asked) next = std::min(next, p.asks_at);
+    }
     for (const Errand& e : errands_) next = std::min(next, e.ends_at);
     if (must_refute_) next = std::min(next, refuted_at_ + tuning_.refute_every * settings_.period);
     return suspects_.empty() ? next : std::min(next, suspicion_ends_);
@@ -267,7 +268,9 @@
     p.number = next_number_++;
     p.why = why;
     const Millis scale = settings_.period * (1 + doubt_);
-    p.again_at = now + tuning_.again * scale;
+    p.apart = tuning_.again * scale;
+    p.again_at = now + p.apart;
+    p.pings = why == Probe::Why::recheck ? 0 : tuning_.pings - 1;
     p.asks_at = now + tuning_.direct * scale;
     p.ends_at = now + tuning_.indirect * scale;
     probes_.push_back(p);
@@ -278,12 +281,14 @@
     std::vector<Probe> over;
     for (Probe& p : probes_) {
         if (now >= p.ends_at) over.push_back(p);
-        if (now >= p.ends_at || p.why != Probe::Why::turn) continue;
+        if (now >= p.ends_at) continue;
         // Most often the datagram alone was lost: that costs one more, and others are not troubled.
-        if (!p.again && now >= p.again_at) {
-            p.again = true;
+        if (p.pings > 0 && now >= p.again_at) {
+            --p.pings;
+            p.again_at += p.apart;
             ping(p.target, p.number, now, actions);
         }
+        if (p.why != Probe::Why::turn) continue;
         if (!p.asked && now >= p.asks_at) ask_others(p, now, actions);
     }
     std::erase_if(probes_, [&](const Probe& p) { return now >= p.ends_at; });
@@ -576,7 +581,9 @@
 void Membership::spread(const Entry& e, Millis now, bool calm) {
     // A first hearing of a member that is alive is no hurry: a whole fleet that starts tells nothing else.
     // Any later one contradicts what somebody may hold, and comes before what it contradicts has run out.
-    outbox_.put(rumour_of(e, now), calm ? Outbox::Urgency::news : Outbox::Urgency::trouble, times(), now);
+    // And what it misses, repair finds: a whole fleet's names told as often as news would ride for minutes.
+    outbox_.put(rumour_of(e, now), calm ? Outbox::Urgency::news : Outbox::Urgency::trouble,
+                calm ? std::min(times(), tuning_.calm_times) : times(), now);
 }
 
 Rumour Membership::rumour_of(const Entry& e, Millis now) const {
--- a/src/fleet/membership.hpp
+++ b/src/fleet/membership.hpp
@@ -20,7 +20,9 @@
 // The protocol's own constants. Nobody configures them: they are here so that a test can break a bound on
 // purpose and see that it notices. Times and rates in P.
 struct MembershipTuning {
-    // A probe pings its target at 0, again at `again`, asks others at `direct`, and has failed at `indirect`.
+    // A probe pings its target up to `pings` times, `again` apart, asks others at `direct`, and has failed at
+    // `indirect`.
+    unsigned pings = 4;
     double again = 0.2, direct = 0.4, indirect = 0.75;
     double errand = 0.25;  // a helper says that it has heard nothing
     unsigned helpers = 3;
@@ -32,6 +34,7 @@
     // suspect `grace` to contradict.
     double suspicion_least = 3, suspicion_per_decade = 1.2, alone = 2, grace = 2;
     double times_per_decade = 4;  // how often a rumour is sent on, by log10(N + 1)
+    unsigned calm_times = 3;      // and a first hearing of somebody that is alive, at most
     // Sent on at once, beside the probes: so many a P, so many at a stretch, to so many members.
     double urgent_rate = 0.8, urgent_burst = 2;
     std::size_t urgent_to = 2;
@@ -157,7 +160,9 @@
         Key target = 0;
         std::uint32_t number = 0;
         Millis again_at = 0, asks_at = 0, ends_at = 0;  // pinged once more; others asked; it has failed
-        bool again = false, asked = false;
+        Millis apart = 0;
+        unsigned pings = 0;  // that may still be sent
+        bool asked = false;
         unsigned nacks_wanted = 0, nacks = 0;
         // In its turn; of a suspicion that somebody else tells of, which costs no doubt in oneself; or of one
         // that is held already, of which only an ack matters.
--- a/tests/unit/membership_bounds_test.cpp
+++ b/tests/unit/membership_bounds_test.cpp
@@ -217,7 +217,7 @@
         {"time_to_refute",
          time_to_refute,
          {{"half a P", [](Tuning& t) { t.suspicion_least = 0.5, t.suspicion_per_decade = 0, t.alone = 1; }},
-          {"the suspect is not pinged", [](Tuning& t) { t.rechecks = 0; }}}},
+          {"the suspect is hardly pinged", [](Tuning& t) { t.rechecks = 0, t.pings = 2, t.verifiers = 0; }}}},
         {"flood", flood, {{"no allowance", [](Tuning& t) { t.allowance = t.allowance_burst = 1e9; }}}},
         {"earlier_lives", earlier_lives, {{"old lives count", [](Tuning& t) { t.old_lives_count = true; }}}},
         {"repair", repair, {{"none", [](Tuning& t) { t.compare_burst = t.repair_burst = 0; }}}},
