--- a/bench/fleet_sim.cpp
+++ b/bench/fleet_sim.cpp
@@ -9,8 +9,10 @@
 #include <algorithm>
 #include <cstdio>
 #include <cstdlib>
+#include <ctime>
 #include <deque>
 #include <functional>
+#include <string_view>
 #include <utility>
 
 #include "fleetsim/fleet.hpp"
@@ -130,11 +132,59 @@
     std::uint64_t held_ = 0;
 };
 
+double cpu_us() {
+    timespec t{};
+    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &t);
+    return static_cast<double>(t.tv_sec) * 1e6 + static_cast<double>(t.tv_nsec) / 1e3;
+}
+
+void idle(std::size_t members) {
+    namespace fleet = whinledge::fleet;
+    fleet::MembershipSettings settings;
+    settings.fleet = fleet::key_of("simulated");
+    settings.self = fleet::key_of(Fleet::name(0));
+    settings.born = 1000000;
+    for (std::size_t i = 1; i < members; ++i) settings.members.push_back(fleet::key_of(Fleet::name(i)));
+    fleet::Membership member(settings);
+    fleet::FleetActions actions;
+    Millis now = 0;
+    const auto hear = [&](fleet::Key from, fleet::Kind kind, std::uint32_t number, fleet::Key target) {
+        fleet::Datagram d;
+        d.fleet = settings.fleet, d.from = from, d.incarnation = settings.born + from % 1000;
+        d.kind = kind, d.number = number, d.target = target, d.view = member.view();
+        member.receive(now, *fleet::decode(fleet::encode(d), settings.fleet).datagram, actions);
+    };
+    // Its peers ack what it has sent.
+    const auto send = [&] {
+        for (const fleet::FleetAction& a : fleet::FleetActions(std::exchange(actions, {})))
+            if (const auto* const tell = std::get_if<fleet::Tell>(&a)) {
+                const auto read = fleet::decode(fleet::encode(tell->datagram), settings.fleet);
+                if (read.datagram->kind == fleet::Kind::ping)
+                    hear(tell->to, fleet::Kind::ack, read.datagram->number, tell->to);
+            }
+    };
+    for (const fleet::Key key : settings.members) hear(key, fleet::Kind::news, 0, 0), actions.clear();
+    member.outbox().clear();
+    constexpr int kRounds = 20000;
+    const double before = cpu_us();
+    for (int round = 1; round <= kRounds; ++round) {
+        for (; member.due() < round * P; send()) member.tick(now = std::max(now, member.due()), actions);
+        now = round * P - 1;
+        hear(settings.members[static_cast<std::size_t>(round) % settings.members.size()], fleet::Kind::ping,
+             1, settings.self);
+        send();
+    }
+    std::printf("N %zu idle: %.1f us of CPU time a P, %zu alive\n", members, (cpu_us() - before) / kRounds,
+                member.alive());
+}
+
 }  // namespace
 
 int main(int count, char** words) {
+    if (count == 3 && std::string_view(words[2]) == "idle")
+        return idle(static_cast<std::size_t>(std::atoi(words[1]))), 0;
     if (count < 4 || count > 6)
-        return std::fprintf(stderr, "fleet_sim MEMBERS LOSS SEEDS [KILLS [brief]]\n"), 2;
+        return std::fprintf(stderr, "fleet_sim MEMBERS LOSS SEEDS [KILLS [brief]], or MEMBERS idle\n"), 2;
     const auto members = static_cast<std::size_t>(std::atoi(words[1]));
     const double loss = std::atof(words[2]);
     const int seeds = std::atoi(words[3]), kills = count > 4 ? std::atoi(words[4]) : 1;
