--- a/tests/fleet/report.cpp
+++ b/tests/fleet/report.cpp
@@ -17,7 +17,8 @@
 // Sizes of the picture, in its own units.
 constexpr double kLeft = 96, kWide = 1000, kRight = 12;
 constexpr double kLane = 15, kStrip = 5, kRow = 9, kGap = 3;
-constexpr double kFinest = 0.4;          // narrower than this is drawn with what comes next
+// Narrower than this is drawn with what comes next; coarser where there are many rows.
+constexpr double kFinest = 0.4, kCoarse = 2.5;
 constexpr std::size_t kFewMembers = 24;  // up to there each row shows each member by a strip of its own
 constexpr std::size_t kMostLanes = 24;
 
@@ -192,6 +193,7 @@
                 return;
         }
     }
+    double finest() const { return cast_.members.size() > 60 ? kCoarse : kFinest; }
     bool few() const { return cast_.members.size() <= kFewMembers; }
 
     // ---- Drawing
@@ -242,7 +244,7 @@
         Millis from = zero_;
         for (std::size_t i = 0; i < changes.size(); ++i) {
             const Millis until = i + 1 < changes.size() ? changes[i + 1].first : end_;
-            if (x(until) - x(from) < kFinest && i + 1 < changes.size()) continue;
+            if (x(until) - x(from) < finest() && i + 1 < changes.size()) continue;
             const Counts& counts = changes[i].second;
             const double all = static_cast<double>(
                 std::max<std::size_t>(1, std::accumulate(counts.begin(), counts.end(), std::size_t{0})));
--- a/tests/fleet/rig.cpp
+++ b/tests/fleet/rig.cpp
@@ -257,6 +257,7 @@
     for (const Result& r : o.results)
         text += std::string(r.passed ? "  holds  " : "  FAILS  ") + r.condition + ": " + r.seen + "\n";
     const auto periods = [&](Millis length) { return length / cast.period; };
+    std::vector<Millis> all;
     for (const Detection& d : o.detections) {
         if (d.took.empty()) continue;
         std::snprintf(line, sizeof line,
@@ -264,6 +265,15 @@
                       cast.members[d.member].c_str(), d.took.size(), periods(d.took[d.took.size() / 2]),
                       periods(d.took.back()), d.missing);
         text += line;
+        all.insert(all.end(), d.took.begin(), d.took.end());
+    }
+    std::sort(all.begin(), all.end());
+    if (all.size() > 1) {
+        std::snprintf(line, sizeof line,
+                      "  kill to failed, %zu of them: median %.2f P, 99 %% %.2f P, worst %.2f P\n",
+                      all.size(), periods(all[all.size() / 2]), periods(all[all.size() * 99 / 100]),
+                      periods(all.back()));
+        text += line;
     }
     std::snprintf(line, sizeof line,
                   "  settled after %.1f P; resident %lu to %lu KiB; of the rig: lost %lu, strange %lu, late "
