A suspicion that one's own probe clears is told like every other change

Seen: in the code, by a reader of the log's lines: `alive -> suspect` without a way back. Cause: clear_suspicion changed the state without an action. Ruled out: ends by contradiction, which go through become(). Change: it tells Changed; a test follows all changes of twelve members at 30 % loss and late acks and holds them against what each member says.

--- a/src/fleet/membership.cpp
+++ b/src/fleet/membership.cpp
@@ -325,7 +325,7 @@
     if (probe != probes_.end()) {
         if (Entry* const e = find(probe->target)) {
             e->trusted_until = now + tuning_.grace * settings_.period;
-            if (e->seen.state == State::suspect) clear_suspicion(*e);
+            if (e->seen.state == State::suspect) clear_suspicion(*e, actions);
         }
         if (probe->why == Probe::Why::turn && doubt_ > 0) --doubt_;
         probes_.erase(probe);
@@ -537,8 +537,10 @@
 }
 
 // By what it has shown to us: an opinion that nobody else has to share.
-void Membership::clear_suspicion(Entry& e) {
+void Membership::clear_suspicion(Entry& e, FleetActions& actions) {
     e.seen.state = State::alive;
+    actions.emplace_back(
+        Changed{e.seen.key, State::suspect, State::alive, e.seen.incarnation, e.seen.draining});
     e.tellers = 0;
     std::erase(suspects_, e.seen.key);
     outbox_.forget_rumour(e.seen.key);
--- a/src/fleet/membership.hpp
+++ b/src/fleet/membership.hpp
@@ -199,7 +199,7 @@
     void refute(Millis now, FleetActions& actions);
     void suspect(Entry& about, Incarnation incarnation, Key teller, Millis age, State becomes, Millis now,
                  FleetActions& actions);
-    void clear_suspicion(Entry& about);
+    void clear_suspicion(Entry& about, FleetActions& actions);
     void become(Entry& about, State state, Incarnation incarnation, bool draining, FleetActions& actions);
     void spread(const Entry& about, Millis now, bool calm = false);
     void acked(const Datagram& d, Millis now, FleetActions& actions);
--- a/tests/unit/membership_test.cpp
+++ b/tests/unit/membership_test.cpp
@@ -1,6 +1,7 @@
 // Membership over simulated networks: every hard case by its name, with seeds; a failing one is printed.
 #include <gtest/gtest.h>
 
+#include <map>
 #include <set>
 
 #include "fleet_world.hpp"
@@ -73,6 +74,31 @@
     EXPECT_TRUE(w.run_until([&] { return w.views_equal() && w.all_joined(); }, w.now() + 15 * P, 250));
 }
 
+// Whoever follows the changes knows what the member holds: also that a suspicion was cleared by its own
+// probe.
+TEST_P(Membership, EveryChangeIsTold) {
+    Fleet::Options slow = options(12, 0.3);
+    slow.most_delay = 0.3 * P;  // an ack may have left before its sender heard of the suspicion
+    World w(slow);
+    std::map<std::pair<std::size_t, Key>, State> told;
+    std::size_t cleared = 0;
+    w.on_change = [&](std::size_t at, const fleet::Changed& c) {
+        State& last = told.try_emplace({at, c.about}, State::failed).first->second;
+        EXPECT_EQ(last, c.from);
+        cleared += c.from == State::suspect && c.to == State::alive;
+        last = c.to;
+    };
+    for (int step = 0; step < 400; ++step) {
+        w.run(w.now() + P / 4);
+        for (std::size_t i = 0; i < w.size(); ++i)
+            for (const auto& peer : w.at(i).peers()) {
+                const auto last = told.find({i, peer.key});
+                ASSERT_EQ(last == told.end() ? State::failed : last->second, peer.state);
+            }
+    }
+    EXPECT_GT(cleared, 0u);
+}
+
 TEST_P(Membership, ThirtyPercentLostFailHardlyAnybody) {
     World w(options(20, 0.3));
     w.settle();
