--- a/src/fleet/allotment.cpp
+++ b/src/fleet/allotment.cpp
@@ -266,6 +266,8 @@
         if (d.pending && now < d.asked_at + kRenew * settings_.lease) {
             if (now < d.sent_at + kAgain * settings_.lease) continue;
             d.sent_at = now;
+            ++vain_;  // whoever is cut off is not to ask everybody again and again
+            if (d.held == 0 && in_vain()) continue;
             out.push_back({d.from, Ask{d.number, d.held, d.asked, lease_told()}});
         } else if (d.again || (holds && now >= d.asked_at + kRenew * settings_.lease)) {
             const Units back = holds ? std::min(too_much, d.held) : 0;
@@ -332,13 +334,14 @@
     return d->held == 0 || now >= d->until || now >= d->asked_at + kMore * settings_.lease;
 }
 
-// Where half of the owners had nothing for us, all are busy, and questions are in vain.
+bool Allotment::in_vain() const { return vain_ > owners_.size() / 2; }
+
+// Where half of the owners had nothing for us, or did not answer, all are busy or away.
 void Allotment::seek(Millis now, const std::vector<Key>& absent, std::vector<Tell>& out) {
     Units lacking = missing(now);
     const auto away = [&](Key k) { return std::find(absent.begin(), absent.end(), k) != absent.end(); };
-    const bool in_vain = vain_ > owners_.size() / 2;
-    if (in_vain && now < sought_at_ + kVain * settings_.lease) return;
-    const std::size_t most = in_vain ? 1 : kMostAsks;
+    if (in_vain() && now < sought_at_ + kVain * settings_.lease) return;
+    const std::size_t most = in_vain() ? 1 : kMostAsks;
     std::size_t asked = 0;
     for (std::size_t looked = 0; looked < owners_.size() && lacking > 0 && asked < most; ++looked) {
         const Key owner = owners_[next_owner_++ % owners_.size()];
--- a/src/fleet/allotment.hpp
+++ b/src/fleet/allotment.hpp
@@ -151,6 +151,7 @@
     Units surplus(Millis now) const;
     Units most_from(Key lender) const;
     bool may_lend(Key owner, Millis now) const;
+    bool in_vain() const;
     void renew(Millis now, std::vector<Tell>& out);
     void recall(Millis now, std::vector<Tell>& out);
     void lend_more(Millis now, std::vector<Tell>& out);
--- a/tests/unit/fleet_limits_test.cpp
+++ b/tests/unit/fleet_limits_test.cpp
@@ -104,6 +104,21 @@
     EXPECT_GE(f.use(25500, 26000), 0.85) << "two seconds after it healed";
 }
 
+// Nobody hears it: it asks on, a few times a second, or its whole fleet would be asked again and again.
+TEST(FleetLimits, WhoIsCutOffAsksSeldom) {
+    LimitFleet f(rate_of(100, 1000));
+    f.run(5000);
+    f.passes = [](auto from, auto to) { return from != 7 && to != 7; };
+    f.demand[7] = 1000;
+    f.run(8000);
+    const auto before = f.sent_by(7);
+    f.run(28000);
+    EXPECT_LT(static_cast<double>(f.sent_by(7) - before) / 20, 10);
+    f.passes = {};
+    f.run(36000);
+    EXPECT_GE(f.use(35000, 36000), 0.9);
+}
+
 TEST(FleetLimits, OpenRequestsThatEndAreGivenBack) {
     LimitFleet f(open_of(6, 30));
     f.run(5000);
