--- a/tests/fleet/experiment.cpp
+++ b/tests/fleet/experiment.cpp
@@ -411,6 +411,10 @@
                     t.fail("'says' is none of: alive, suspect, failed, left");
                 s.says = *says;
                 s.text += ": all " + std::string(name_of(s.says));
+                if (t.has("claims")) {
+                    s.claims = required(t, "claims").front();
+                    s.text += " as " + Experiment::name(*s.claims);
+                }
             }
             break;
         case Step::Do::list:
--- a/tests/fleet/experiment.hpp
+++ b/tests/fleet/experiment.hpp
@@ -51,7 +51,8 @@
     std::string limits;  // TOML, as of the experiment
     std::string tape;
     Belief says = Belief::failed;
-    std::string text;  // as a person would call it
+    std::optional<Member> claims;  // under that name, though sent from where `from` is
+    std::string text;              // as a person would call it
 };
 
 struct Condition {
--- a/tests/fleet/fleet_test.cpp
+++ b/tests/fleet/fleet_test.cpp
@@ -118,6 +118,18 @@
     EXPECT_FALSE(of(unshared, "received").passed) << of(unshared, "received").seen;
 }
 
+// What claims-another.toml sends does harm where it comes from the right address.
+TEST(FleetRig, AGoodbyeFromItsOwnAddressIsBelieved) {
+    const Experiment experiment = parse_experiment(
+        kSmall +
+            "[[step]]\ndo = \"lie\"\nfrom = \"s3\"\nto = \"all\"\nclaims = \"s3\"\nsays = \"left\"\n"
+            "rate = 10\nfor = \"2P\"\n"
+            "[[condition]]\nwant = \"never\"\nmembers = \"s3\"\nstate = \"left\"\n",
+        "small.toml");
+    const Folder folder("goodbye");
+    EXPECT_FALSE(of(run(experiment, WHINLEDGE, folder.path()), "never: s3 left").passed);
+}
+
 TEST(FleetRig, AProcessThatEndsByItselfFails) {
     const Experiment experiment =
         parse_experiment(kSmall + "[[condition]]\nwant = \"no_repeats\"\n", "small.toml");
--- a/tests/fleet/timeline.cpp
+++ b/tests/fleet/timeline.cpp
@@ -264,6 +264,12 @@
     d.number = static_cast<std::uint32_t>(source.random());
     d.target = fleet::key_of(cast.members[cast.member_of[to]]);
     if (source.step->what == Step::Do::flood) return fleet::encode(d);
+    if (const auto claims = source.step->claims) {
+        d.from = fleet::key_of(cast.members[*claims]);
+        d.incarnation = std::max<std::uint64_t>(1, stage_.watch.incarnation(*claims));
+        if (source.step->says == Belief::left) d.kind = fleet::Kind::farewell;
+        return fleet::encode(d);
+    }
     // Of all others in turn, as many as a datagram holds.
     for (std::size_t tried = 0; tried < cast.members.size(); ++tried) {
         const Member about = source.number++ % cast.members.size();
