--- a/tests/fleet/timeline.cpp
+++ b/tests/fleet/timeline.cpp
@@ -103,6 +103,7 @@
     stage_.record.add({now, Done{step.text, now + step.lasts}});
     switch (step.what) {
         case Step::Do::kill:
+            for (const Node n : step.members) stage_.processes.signal(n, SIGKILL);  // at once
             for (const Node n : step.members) kill(n);
             break;
         case Step::Do::stop:
@@ -121,6 +122,7 @@
             for (const Node n : step.members) start(n);
             break;
         case Step::Do::restart:
+            for (const Node n : step.members) stage_.processes.signal(n, SIGKILL);
             for (const Node n : step.members) kill(n);
             for (const Node n : step.members) start(n);
             break;
