--- a/tests/fleet/timeline.cpp
+++ b/tests/fleet/timeline.cpp
@@ -103,6 +103,7 @@
     stage_.record.add({now, Done{step.text, now + step.lasts}});
     switch (step.what) {
         case Step::Do::kill:
+            for (const Node n : step.members) stage_.processes.signal(n, SIGKILL);  // at once
             for (const Node n : step.members) kill(n);
             break;
         case Step::Do::stop:
@@ -121,6 +122,7 @@
             for (const Node n : step.members) start(n);
             break;
         case Step::Do::restart:
+            for (const Node n : step.members) stage_.processes.signal(n, SIGKILL);
             for (const Node n : step.members) kill(n);
             for (const Node n : step.members) start(n);
             break;
@@ -264,6 +266,12 @@
     d.number = static_cast<std::uint32_t>(source.random());
     d.target = fleet::key_of(cast.members[cast.member_of[to]]);
     if (source.step->what == Step::Do::flood) return fleet::encode(d);
+    if (const auto claims = source.step->claims) {
+        d.from = fleet::key_of(cast.members[*claims]);
+        d.incarnation = std::max<std::uint64_t>(1, stage_.watch.incarnation(*claims));
+        if (source.step->says == Belief::left) d.kind = fleet::Kind::farewell;
+        return fleet::encode(d);
+    }
     // Of all others in turn, as many as a datagram holds.
     for (std::size_t tried = 0; tried < cast.members.size(); ++tried) {
         const Member about = source.number++ % cast.members.size();
