--- a/src/fleetsim/limit_fleet.cpp
+++ b/src/fleetsim/limit_fleet.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <string>
 
 namespace whinledge::fleetsim {
 
@@ -17,7 +16,7 @@
 LimitFleet::LimitFleet(const Options& options) : options_(options), random_(options.seed) {
     demand.assign(options.members, 0);
     nodes_.resize(options.members);
-    for (std::size_t i = 0; i < options.members; ++i) keys_.push_back(fleet::key_of("s" + std::to_string(i)));
+    for (std::size_t i = 0; i < options.members; ++i) keys_.push_back(fleet::key_of(name(i)));
     for (std::size_t i = 0; i < options.members; ++i) start(i);
 }
 
--- a/src/fleetsim/limit_fleet.hpp
+++ b/src/fleetsim/limit_fleet.hpp
@@ -6,6 +6,7 @@
 #include <memory>
 #include <queue>
 #include <random>
+#include <string>
 #include <vector>
 
 #include "fleet/limits.hpp"
@@ -24,6 +25,8 @@
     };
     explicit LimitFleet(const Options& options);
 
+    static std::string name(std::size_t i) { return std::string("s").append(std::to_string(i)); }
+
     // Requests of each member a second (Poisson); each is open for `open_for` ms, of kind open.
     std::vector<double> demand;
     fleet::Millis open_for = 100;
--- a/src/peers/peers.cpp
+++ b/src/peers/peers.cpp
@@ -29,11 +29,11 @@
     for (std::uint32_t i = 0; i < peers_.size(); ++i) by_address_.emplace(peers_[i], i);
 }
 
-void Peers::tell(std::optional<std::uint32_t> to, std::span<const std::uint8_t> bytes) {
+void Peers::tell(std::optional<std::uint32_t> to, const std::vector<std::uint8_t>& bytes) {
     if (bytes.size() > kLongest || (to ? *to >= peers_.size() : !all_))
         return log_.line("a peer message not sent");
     error_code lost;  // as any datagram may be
-    socket_.send_to(boost::asio::buffer(bytes.data(), bytes.size()), to ? peers_[*to] : *all_, 0, lost);
+    socket_.send_to(boost::asio::buffer(bytes), to ? peers_[*to] : *all_, 0, lost);
     if (lost) {
         ++counts_.not_taken;
         return;
--- a/src/peers/peers.hpp
+++ b/src/peers/peers.hpp
@@ -8,7 +8,6 @@
 #include <functional>
 #include <memory>
 #include <optional>
-#include <span>
 #include <unordered_map>
 #include <vector>
 
@@ -28,7 +27,7 @@
           std::vector<Udp::endpoint> peers, std::optional<Udp::endpoint> all, Received received);
 
     // To one of them, or to all. What is too long, or is for nobody, is not sent.
-    void tell(std::optional<std::uint32_t> to, std::span<const std::uint8_t> bytes);
+    void tell(std::optional<std::uint32_t> to, const std::vector<std::uint8_t>& bytes);
     // Others from now on: `from` and `to` count in this list.
     void replace(std::vector<Udp::endpoint> peers);
     Udp::endpoint address() const { return socket_.local_endpoint(); }
--- a/tests/unit/fleet_limits_test.cpp
+++ b/tests/unit/fleet_limits_test.cpp
@@ -67,7 +67,7 @@
     for (const auto& o : {rate_of(7, 200), open_of(7, 64)}) {
         LimitFleet f(o);
         for (std::size_t i = 0; i < f.size(); ++i)
-            f.limits(i).configure(f.now(), {o.spec}, {fleet::key_of("s" + std::to_string(i))});
+            f.limits(i).configure(f.now(), {o.spec}, {fleet::key_of(LimitFleet::name(i))});
         each(f, o.spec.kind == LimitSpec::Kind::rate ? 400 : 2000);
         f.run(20000);
         EXPECT_FALSE(within_bound(f, o.spec));
@@ -139,7 +139,7 @@
     each(f, 200);
     f.run(8000);
     std::vector<fleet::Key> members;
-    for (std::size_t i = 0; i < 5; ++i) members.push_back(fleet::key_of("s" + std::to_string(i)));
+    for (std::size_t i = 0; i < 5; ++i) members.push_back(fleet::key_of(LimitFleet::name(i)));
     o.spec.rate = 100;
     for (std::size_t i = 0; i < 5; ++i) f.limits(i).configure(f.now(), {o.spec}, members);
     const auto before = f.admitted().size();
