The cost of a limit beside the cost of the fleet, in one run

Need: limits are to cost a request little, and this is to be measured against none. Change: bench/fleet_cost.sh takes LIMIT.

--- a/bench/fleet_cost.sh
+++ b/bench/fleet_cost.sh
@@ -2,6 +2,7 @@
 # What the fleet costs a sidecar's requests: two daemons with one file and one load, side by side for the whole run, the
 # second one a member of a fleet whose others are processes without load. Prints for each round CPU time of a request and
 # the p99 of both, then the medians and their ratio; at the end the CPU time a second of an idle member.
+# With LIMIT=RATE its requests pass a limit of that rate besides, which has to be far above RATE / MEMBERS.
 #   bench/fleet_cost.sh BUILD [ROUNDS] [SECONDS] [MEMBERS]
 set -euo pipefail
 build=$(cd "$1" && pwd); rounds=${2:-5}; seconds=${3:-10}; members=${4:-7}; rate=${RATE:-500}; period=${PERIOD:-1s}
@@ -21,6 +22,7 @@
     for i in $(seq "$members"); do
         printf '[[fleet.member]]\nname = "s%s"\naddress = "127.0.0.1:%s"\n' "$i" $((23200 + i))
     done
+    [ -z "${LIMIT:-}" ] || printf '[[fleet.limit]]\nname = "l"\npool = "a"\nrate = %s\nburst = 1000\n' "$LIMIT"
 }
 start() {  # name
     "$build/whinledge" --config "$work/$1.toml" 2>"$work/$1.log" &
@@ -33,6 +35,7 @@
     start "s$i"
 done
 until "$build/whinledge" fleet members --socket "$work/s1.sock" --json 2>/dev/null | grep -q '"standing":"joined"'; do sleep 0.2; done
+[ -z "${LIMIT:-}" ] || sleep 5  # a member that starts uses nothing of its own for a lease
 
 cpu_ns() { awk '{print $1}' "/proc/$1/schedstat"; }
 probe() { "$build/whinledge_probe" --to "127.0.0.1:$1" --rate "$rate" --seconds "$seconds" --json /x >"$2"; }
