The rig sees members that never sleep: processor time of each, a condition, a quiet experiment

Need: idle members without limits spun (a timer set to 1e18 ms), 400 to 560 ms of processor time a second each, and 28 experiments held all the same; at 300 processes the fleet did not settle and the rig lost 75,000 datagrams.

--- a/tests/fleet/checks.cpp
+++ b/tests/fleet/checks.cpp
@@ -420,6 +420,43 @@
     double worst_ = 0;
 };
 
+// From the first look at a process that ran all the while to the last.
+class Busy final : public Base {
+public:
+    using Base::Base;
+    void see(const Event& event) override {
+        scene_.see(event);
+        const auto* const weighed = std::get_if<Weighed>(&event.what);
+        if (!weighed || !window_.has(event.at)) return;
+        const auto& who = scene_.who();
+        if (std::find(who.begin(), who.end(), weighed->node) == who.end()) return;
+        auto& [first, last] = seen_.try_emplace(weighed->node, event, event).first->second;
+        if (scene_.runs_since(weighed->node) > first.at) first = event;
+        last = event;
+    }
+
+private:
+    // The busiest one's, ms a second; nothing: none was looked at twice.
+    std::optional<std::pair<Node, double>> worst() const {
+        std::optional<std::pair<Node, double>> found;
+        for (const auto& [node, looks] : seen_) {
+            const auto& [first, last] = looks;
+            if (last.at <= first.at) continue;
+            const double rate = (std::get<Weighed>(last.what).busy - std::get<Weighed>(first.what).busy) *
+                                1000 / (last.at - first.at);
+            if (!found || rate > found->second) found.emplace(node, rate);
+        }
+        return found;
+    }
+    bool passed() const override { return worst() && worst()->second <= condition_.most; }
+    std::string seen() const override {
+        const auto found = worst();
+        return found ? number(found->second) + " ms a second of " + cast_.nodes[found->first]
+                     : "none was looked at twice";
+    }
+    std::map<Node, std::pair<Event, Event>> seen_;
+};
+
 template <class T>
 std::unique_ptr<Check> make(const Condition& c, const Record::Cast& cast, Millis zero) {
     return std::make_unique<T>(c, cast, zero);
@@ -447,6 +484,8 @@
             return make<Socket>(c, cast, zero);
         case Kind::ended:
             return make<Ended>(c, cast, zero);
+        case Kind::busy:
+            return make<Busy>(c, cast, zero);
         case Kind::memory:
             return make<Memory>(c, cast, zero);
         case Kind::received:
--- a/tests/fleet/checks_test.cpp
+++ b/tests/fleet/checks_test.cpp
@@ -194,6 +194,29 @@
     EXPECT_FALSE(Story(memory).passes());
 }
 
+TEST(FleetChecks, WhoSpinsIsBusy) {
+    const Experiment e = experiment("[[condition]]\nwant = \"busy\"\nmost = \"50ms\"\nafter = \"1P\"\n");
+    // Ten P are a second here.
+    const auto looks = [&](double busy) {
+        return Story(e)
+            .add(0, Weighed{0, 1, 0})
+            .add(1, Weighed{0, 1, 900})
+            .add(11, Weighed{0, 1, 900 + busy})
+            .passes();
+    };
+    EXPECT_TRUE(looks(49));
+    EXPECT_FALSE(looks(51));
+    EXPECT_FALSE(Story(e).add(5, Weighed{0, 1, 1}).passes()) << "looked at once";
+    // Again from nothing after a restart.
+    EXPECT_FALSE(Story(e)
+                     .add(1, Weighed{0, 1, 900})
+                     .add(2, Lived{0, Life::killed, 0})
+                     .add(3, Lived{0, Life::up, 0})
+                     .add(4, Weighed{0, 1, 10})
+                     .add(14, Weighed{0, 1, 100})
+                     .passes());
+}
+
 TEST(FleetChecks, DetectionsAreMeasuredFromTheKill) {
     const Experiment e = experiment("[[condition]]\nwant = \"no_repeats\"\n");
     Story story(e);
--- a/tests/fleet/experiment.cpp
+++ b/tests/fleet/experiment.cpp
@@ -42,7 +42,7 @@
                                       {"limits", Step::Do::limits},
                                       {"demand", Step::Do::demand}}};
 using Kind = Condition::Kind;
-constexpr Words<Kind, 13> kConditions{{{"all_hold", Kind::all_hold},
+constexpr Words<Kind, 14> kConditions{{{"all_hold", Kind::all_hold},
                                        {"never", Kind::never},
                                        {"views_equal", Kind::views_equal},
                                        {"standing", Kind::standing},
@@ -53,6 +53,7 @@
                                        {"socket", Kind::socket},
                                        {"ended", Kind::ended},
                                        {"memory", Kind::memory},
+                                       {"busy", Kind::busy},
                                        {"received", Kind::received},
                                        {"open", Kind::open}}};
 
@@ -509,6 +510,11 @@
             c.status = static_cast<int>(t.whole("status", 0, 255, 0));
             c.text += " " + names(c.members);
             break;
+        case Kind::busy:
+            c.most = t.time("most");
+            if (c.most <= 0) t.fail("'most' is missing");
+            observers();
+            break;
         case Kind::memory:
             c.most = t.number("most_kib", 1, 1e9).value_or(0);
             if (c.most <= 0) t.fail("'most_kib' is missing");
--- a/tests/fleet/experiment.hpp
+++ b/tests/fleet/experiment.hpp
@@ -68,6 +68,7 @@
         socket,          // each of `who` answers on its socket within so long, as often as it is asked
         ended,           // the processes of `members` ended by themselves with `status`
         memory,          // KiB resident, at most
+        busy,            // processor time of a process in a second, at most, ms
         received,        // what servers received: `most` in any `window`, `least` a second on the mean
         open,            // requests that servers held at once, at most
     };
--- a/tests/fleet/processes.cpp
+++ b/tests/fleet/processes.cpp
@@ -6,9 +6,11 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cmath>
 #include <fstream>
 #include <numeric>
+#include <sstream>
 #include <stdexcept>
 
 namespace whinledge::fleetrig {
@@ -150,6 +152,20 @@
     }
 }
 
+Millis Processes::busy(Node node) const {
+    if (!runs(node)) return 0;
+    std::ifstream stat("/proc/" + std::to_string(pids_[node]) + "/stat");
+    std::string text;
+    std::getline(stat, text);
+    // proc(5): behind the name, which may hold anything, fields 3 on; 14 and 15 are user and system time.
+    std::istringstream fields(text.substr(std::min(text.rfind(')') + 1, text.size())));
+    std::string skipped;
+    for (int i = 3; i < 14; ++i) fields >> skipped;
+    double user = 0, system = 0;
+    fields >> user >> system;
+    return (user + system) * 1000 / static_cast<double>(::sysconf(_SC_CLK_TCK));
+}
+
 std::uint64_t Processes::resident_kib(Node node) const {
     if (!runs(node)) return 0;
     std::ifstream status("/proc/" + std::to_string(pids_[node]) + "/status");
--- a/tests/fleet/processes.hpp
+++ b/tests/fleet/processes.hpp
@@ -49,6 +49,7 @@
     bool runs(Node node) const { return pids_[node] > 0; }
     pid_t pid(Node node) const { return pids_[node]; }
     std::uint64_t resident_kib(Node node) const;
+    Millis busy(Node node) const;  // processor time since its start
     std::string control(Node node) const { return (sockets_ / std::to_string(node)).string(); }
     std::filesystem::path log(Node node) const;
     // Of one that ended without kill(): status as a shell has it.
--- a/tests/fleet/record.cpp
+++ b/tests/fleet/record.cpp
@@ -108,6 +108,7 @@
                               line["event"] = "weighed";
                               node(e.node);
                               line["resident_kib"] = e.resident;
+                              line["busy_ms"] = e.busy;
                           }},
                event.what);
     return line.dump();
--- a/tests/fleet/record.hpp
+++ b/tests/fleet/record.hpp
@@ -70,9 +70,10 @@
 struct Counted {  // since the start, by node
     std::vector<std::uint64_t> datagrams, bytes;
 };
-struct Weighed {  // resident memory, KiB
+struct Weighed {  // a process: resident memory, KiB, and processor time since its start
     Node node = 0;
     std::uint64_t resident = 0;
+    Millis busy = 0;
 };
 
 struct Event {
--- a/tests/fleet/rig.cpp
+++ b/tests/fleet/rig.cpp
@@ -145,19 +145,20 @@
         return checks_ && timeline_.over() && now >= zero_ + experiment_.least && !checks_->wait(now);
     }
 
-    // Datagrams each P, memory each 10 P.
+    // Datagrams each P, memory and processor time each 5 P.
     void count() {
         count_.expires_after(RunClock::span(experiment_.period));
         count_.async_wait([this](boost::system::error_code failed) {
             if (failed) return;
             record_.add({clock_.now(), Counted{datagrams_.sent(), datagrams_.sent_bytes()}});
-            if (++counts_ % 10 == 0) weigh();
+            if (++counts_ % 5 == 0) weigh();
             count();
         });
     }
     void weigh() {
         for (Node n = 0; n < experiment_.nodes(); ++n)
-            if (processes_.runs(n)) record_.add({clock_.now(), Weighed{n, processes_.resident_kib(n)}});
+            if (processes_.runs(n))
+                record_.add({clock_.now(), Weighed{n, processes_.resident_kib(n), processes_.busy(n)}});
     }
 
     // What clients have asked may still be answered; then it counts.
