What is at work under a lease that was taken back stays its borrower's until it has ended

Cause: a borrower that was given less said at once that it kept no more, while requests that it had begun were still open; the lender lent the units again. Ruled out: ends of leases, for which lenders wait the longest time of a request as well. Change: a question says as kept also what is at work and has no units any more.

--- a/src/fleet/allotment.cpp
+++ b/src/fleet/allotment.cpp
@@ -230,6 +230,11 @@
 
 std::uint32_t Allotment::lease_told() const { return static_cast<std::uint32_t>(std::ceil(settings_.lease)); }
 
+// What is still at work and has no units any more began under leases that were taken back or have ended: its
+// lender, any of them, is to count it until it has ended, or until its lease and the longest time of a
+// request are over.
+Units Allotment::kept(const Debt& debt, Millis now) const { return debt.held + less(busy_, usable(now)); }
+
 // From here on no more than `keep` is used of what this lender lent: it may count the rest as back when it
 // hears of it.
 Allotment::Tell Allotment::ask(Debt& debt, Millis now, Units keep, Units want) {
@@ -239,7 +244,7 @@
     debt.again = false;
     debt.asked_at = debt.sent_at = now;
     debt.asked = want;
-    return {debt.from, Ask{debt.number, debt.held, want, lease_told()}};
+    return {debt.from, Ask{debt.number, kept(debt, now), want, lease_told()}};
 }
 
 // Wanted, not there, and not under way.
@@ -268,7 +273,7 @@
             d.sent_at = now;
             ++vain_;  // whoever is cut off is not to ask everybody again and again
             if (d.held == 0 && in_vain()) continue;
-            out.push_back({d.from, Ask{d.number, d.held, d.asked, lease_told()}});
+            out.push_back({d.from, Ask{d.number, kept(d, now), d.asked, lease_told()}});
         } else if (d.again || (holds && now >= d.asked_at + kRenew * settings_.lease)) {
             const Units back = holds ? std::min(too_much, d.held) : 0;
             const Units keep = holds ? d.held - back : 0;
--- a/src/fleet/allotment.hpp
+++ b/src/fleet/allotment.hpp
@@ -147,6 +147,7 @@
     Debt& debt_from(Key from);
     Tell ask(Debt& debt, Millis now, Units keep, Units want);
     std::uint32_t lease_told() const;
+    Units kept(const Debt& debt, Millis now) const;
     Units missing(Millis now) const;
     Units surplus(Millis now) const;
     Units most_from(Key lender) const;
--- a/tests/unit/fleet_limits_test.cpp
+++ b/tests/unit/fleet_limits_test.cpp
@@ -119,6 +119,23 @@
     EXPECT_GE(f.use(35000, 36000), 0.9);
 }
 
+// What is taken back may still be at work: it is nobody else's until it has ended.
+TEST(FleetLimits, OpenRequestsThatLastKeepWhatTheyBeganUnder) {
+    for (std::uint64_t seed = 1; seed <= 8; ++seed) {
+        auto o = open_of(5, 20);
+        o.spec.tail = 2000, o.spec.lease = 1000, o.seed = seed;
+        LimitFleet f(o);
+        f.open_for = 1900;
+        f.run(4000);
+        for (int second = 0; second < 30; ++second) {
+            for (std::size_t i = 0; i < 5; ++i) f.demand[i] = (second + i) % 5 < 2 ? 60 : 0;
+            f.run(f.now() + 1000);
+        }
+        EXPECT_LE(f.most_open(), 20u) << "seed " << seed;
+        EXPECT_GT(f.admitted().size(), 100u);
+    }
+}
+
 TEST(FleetLimits, OpenRequestsThatEndAreGivenBack) {
     LimitFleet f(open_of(6, 30));
     f.run(5000);
