Nothing is begun for a client whose end lies behind what it sent early

Seen by probes over loopback: while a request waited for its answer the front looked at its client's socket by peeking one byte, and stopped waiting for it where there was one. So a client's end behind a part of a next request, or behind whole ones, was heard of when the answer was done: the request was held to its deadline, and the pipelined ones were then sent on for nobody. A further attempt, and one that had waited for room, began for a client whose end lay in the loop's queue behind the answer that made it possible. Ruled out: an end within a head or a body (read as the end, nothing is begun), and the end of an attempt that is out where it may not be cancelled (booked, its connection is used again).

The front now reads on while a request waits and while its answer goes out. It keeps 16 KiB, as much as one read could leave before; who sends more, or has ended, has its present answer as its last, and what came early is dropped. A request from what came early, a further attempt, and one that did not begin right on arrival look at the socket first (Call::may_start); a first attempt on arrival costs no system call more. An idle connection with a request in hand is not spare any more.

--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -166,10 +166,14 @@
 
     // Its client has gone: what comes now is for nobody.
     void leave() noexcept { client_.reset(); }
+    // An attempt that does not begin right on arrival looks first: its client's end may wait in the loop's
+    // queue behind what makes room for it.
+    bool may_start(std::uint32_t) const noexcept override;
     const http::request_header<>& head() const { return message_.base(); }
     std::size_t size() const { return message_.body().size(); }
 
     std::unique_ptr<Grant> grant;  // what it holds of its limits
+    bool arriving = true;          // its last byte has just been read
 
 private:
     template <class Make>
@@ -190,7 +194,9 @@
         wait_readable();
         door_->rested();
     }
-    bool spare() const override { return phase_ != Phase::idle || unread() != error_code(); }
+    bool spare() const override {
+        return phase_ != Phase::idle || (pending_.empty() && unread() != error_code());
+    }
     void out_of_time() override {
         if (phase_ == Phase::reading) return reject(http::status::request_timeout);
         close();
@@ -220,6 +226,7 @@
         if (error && error != asio::error::would_block) return end();
         if (size == out_.size() + body_.size()) return answered();
         out_ += body_;
+        wait_readable();
         asio::async_write(socket_, asio::buffer(out_) + size,
                           [self = shared_from_this(), this](error_code failed, std::size_t) {
                               if (!door_) return;
@@ -231,6 +238,12 @@
                           });
     }
 
+    // Its end, or an error, is the next thing on the socket.
+    bool has_gone() const {
+        const error_code error = unread();
+        return error && error != asio::error::would_block;
+    }
+
     // Who waits for an answer of the module still gets it; who was being read is refused, who was being
     // answered is told of a failure.
     void broken() noexcept override {
@@ -256,6 +269,8 @@
     // More than a request may have.
     static constexpr int kMostReads =
         static_cast<int>((kHeaderLimit + kBodyLimit + kFramingLimit) / (16 * 1024)) + 2;
+    // Of what comes early, ahead of an answer.
+    static constexpr std::size_t kMostEarly = 16 * 1024;
     enum class Phase { idle, reading, waiting, answering };
     using Parser = http::request_parser<http::string_body>;
 
@@ -290,17 +305,37 @@
         std::string().swap(body_);
         keep_ && !door_->shut() ? next() : end();
     }
-    void end() { finish(rejected_); }
+    void end() { finish(may_be_sending_ || !pending_.empty()); }
 
     void readable(error_code) override {
         if (phase_ == Phase::idle) return begin();
         if (phase_ == Phase::reading) return read();
-        const error_code error = unread();
-        if (error == asio::error::would_block)
-            wait_readable();
-        else if (error && phase_ != Phase::answering)
-            close();
-        // Else its next request, early, or its end while the answer goes out: seen when that is done.
+        read_ahead();
+    }
+
+    // While it waits for its answer or takes it, so that its end is seen behind whatever it sends early.
+    void read_ahead() {
+        error_code error;
+        const std::string_view bytes = receive(error);
+        if (error == asio::error::would_block) return wait_readable();
+        if (error) return phase_ == Phase::waiting ? close() : end_after_answer();  // which it may still take
+        if (!keep_early(bytes)) end_after_answer();
+        wait_readable();
+    }
+    bool keep_early(std::string_view bytes) noexcept {
+        if (!keep_ || pending_.size() + bytes.size() > kMostEarly) return false;
+        try {
+            pending_.append(bytes);
+            return true;
+        } catch (const std::bad_alloc&) {
+            return false;
+        }
+    }
+    // Who has gone, or sends more than one request at a time: nothing that came early is begun.
+    void end_after_answer() {
+        keep_ = false;
+        may_be_sending_ = true;
+        std::string().swap(pending_);
     }
 
     void begin() {
@@ -313,7 +348,8 @@
         parser_->header_limit(kHeaderLimit);
         parser_->body_limit(kBodyLimit);
         parser_->eager(true);
-        pending_.empty() ? read() : parse();
+        if (pending_.empty()) return read();
+        has_gone() ? close() : parse();
     }
 
     void read() {
@@ -397,7 +433,7 @@
         phase_ = Phase::waiting;
         door_->taken();
         taken_ = true;
-        if (pending_.empty()) wait_readable();
+        wait_readable();
         // Asked anew: what its head was read by may have been replaced since.
         const auto place = front_.callbacks_.place(call_->head());
         const auto call = call_;
@@ -409,10 +445,11 @@
             call->grant->hold(call->size());
         }
         place->pool->take(call, *arrival_);
+        call->arriving = false;
     }
 
     void reject(http::status status) {
-        rejected_ = true;
+        may_be_sending_ = true;
         keep_ = false;
         parser_.reset();
         std::string().swap(pending_);
@@ -429,11 +466,16 @@
     const Site* site_ = nullptr;     // that its class is of
     std::shared_ptr<Request> call_;  // while it waits for the module
     Phase phase_ = Phase::idle;
-    bool keep_ = true, rejected_ = false, head_only_ = false;
+    bool keep_ = true, head_only_ = false;
+    bool may_be_sending_ = false;  // when its last answer has gone out
     bool taken_ = false;  // counted by the door
     bool begun_ = false;  // its answer is on its way
 };
 
+bool Front::Request::may_start(std::uint32_t) const noexcept {
+    return arriving || (client_ && !client_->has_gone());
+}
+
 // Once: the client leaves with it.
 template <class Make>
 void Front::Request::end(Make make) noexcept {
