Clients' places are held to the process's own limit of descriptors too

Cause: clients and servers were given halves of limits.sockets alone. Where the process's own limit (RLIMIT_NOFILE) is lower, idle clients filled it: accept, connects to servers and discovery's connect all got EMFILE, and as the places were not full nobody was let go. With discovery down meanwhile its return was never heard. Seen with 1,024 told and 32, 64 and 256 allowed; with a limit that is not below what is told nothing was wrong.

Change: the halves are of what is told or of what the limit leaves beside what is open at the start and 16 to come, whichever is less.

Test: the program as a process of its own under RLIMIT_NOFILE, six pairs of told and allowed; clients that have come back fill it while discovery is down. Without the change the three pairs with a lower limit fail (clients unanswered, return not heard within 2 s); with it all six passed 50 times.

--- a/src/app/sidecar.cpp
+++ b/src/app/sidecar.cpp
@@ -1,6 +1,10 @@
 #include "app/sidecar.hpp"
 
+#include <sys/resource.h>
+
 #include <algorithm>
+#include <filesystem>
+#include <system_error>
 #include <utility>
 
 namespace whinledge {
@@ -12,8 +16,28 @@
 // Of the descriptors allowed: some for files, discovery, peers and the listener, the rest shared evenly
 // between clients and servers, each of which may need one for a request.
 constexpr std::size_t kOtherSockets = 24;
+// The same beside what is open already as the sidecar is made.
+constexpr std::size_t kToCome = 16;
+
+std::size_t less(std::size_t from, std::size_t what) { return from - std::min(from, what); }
+
+std::size_t open_descriptors() {
+    std::error_code failed;
+    std::size_t count = 0;
+    for (std::filesystem::directory_iterator at("/proc/self/fd", failed), end; !failed && at != end;
+         at.increment(failed))
+        ++count;
+    return failed ? kOtherSockets - kToCome : count;
+}
+
+// What the process is told that it may hold, or what its own limit leaves: whatever is beyond that would be
+// had by idle clients, and wanting to discovery and to servers.
 std::size_t half(std::size_t sockets) {
-    return std::max<std::size_t>(8, sockets - std::min(sockets, kOtherSockets)) / 2;
+    std::size_t left = less(sockets, kOtherSockets);
+    rlimit limit{};
+    if (::getrlimit(RLIMIT_NOFILE, &limit) == 0 && limit.rlim_cur != RLIM_INFINITY)
+        left = std::min(left, less(limit.rlim_cur, open_descriptors() + kToCome));
+    return std::max<std::size_t>(8, left) / 2;
 }
 
 constexpr Millis kIdleMargin = 0.07;  // of idle-close-ms: closed by us before the server does
