A keyed repeat begins while its servers remember, and nothing begins for who has gone

Cause, keyed: may_go() in policy/balance.cpp compared the window with the moment of deciding. The attempt could then connect, write a long body and queue past the window's end, and was open up to the client's deadline; a refusal given just ahead of the end brought the client back after it. Cause, gone: Pool::attempt_wanted did not look at whether the request had its end. With cancelling not permitted, or what was left to go on, a connect that came up after the client had gone still carried the request.

Change: begin_by() is the window's end, counted from the first send, less what an answer takes (aim, or of late, whichever is more); Send and the attempt carry it, what is not written whole by then is stopped, and what is unanswered at the window's end is withdrawn. may_refuse() asks the same of the client's return. Pool::may_begin is the one place that says whether an attempt may begin, ahead of its start and ahead of its first byte.

The checker in tests/rig/rig.hpp is stricter: a repeat's begin_by, its limit and a refusal's advice are held against the window less the aim. Rule2.ByKeyStaysInItsZoneAndWindow had a window of 300 ms below its aim of 400, where now nothing is repeated: it has 700, and the late ones end at 300 of it.

--- a/include/kestrelhall/balancer.hpp
+++ b/include/kestrelhall/balancer.hpp
@@ -33,10 +33,11 @@
 struct RequestClass {
     Effect effect = Effect::once;
     DedupScope dedup_scope = DedupScope::cell;
-    Millis dedup_window = 0;  // repeats are dropped this long after the first attempt that may have run
-    Millis aim = 1000;        // an answer within this earns full worth
-    double aim_stretch = 0;   // the aim grows by this multiple of the request's own effort
-    double worth = 1;         // of one request, against other classes
+    // Repeats are dropped this long after the first attempt that may have run was sent.
+    Millis dedup_window = 0;
+    Millis aim = 1000;       // an answer within this earns full worth
+    double aim_stretch = 0;  // the aim grows by this multiple of the request's own effort
+    double worth = 1;        // of one request, against other classes
     // Placement, at every attempt: the zones and machine kinds open to the class; not given: all of them.
     std::optional<std::vector<ZoneId>> zones{};
     std::optional<std::vector<KindId>> kinds{};
@@ -151,6 +152,9 @@
     RequestId id = 0;
     ServerId server = 0;
     Millis try_until = 0;  // the caller ends the attempt as overdue at this time
+    // What has not been written whole by then must not be any more: the caller ends it, as one that never
+    // ran where that is so. At most try_until; 0: the same.
+    Millis begin_by = 0;
 };
 struct Cancel {
     RequestId id = 0;
--- a/src/engine/pool.cpp
+++ b/src/engine/pool.cpp
@@ -141,31 +141,40 @@
     Book::OpenRequest* const request = ledger_.request(send.id);
     if (!request) return;
     const auto number = static_cast<std::uint32_t>(request->attempts.size());
-    const Book::KnownServer* const server = ledger_.server(send.server);
-    const Millis now = engine_.now();
     const Millis until = send.try_until > 0 ? std::min(send.try_until, request->deadline) : request->deadline;
-    request->attempts.push_back({0, send.server, now, {}, true});  // its room was reserved: does not throw
+    const Millis begin_by = send.begin_by > 0 ? std::min(send.begin_by, until) : until;
+    // Its room was reserved: does not throw.
+    request->attempts.push_back({0, send.server, engine_.now(), begin_by, until, {}, true});
     ledger_.sent(*request, send.server);
-    std::optional<Outcome> unsent;
-    if (request->ended || now >= until || !server || !server->listed || !request->call->may_start(number))
-        unsent = Outcome::superseded;
-    else
-        try {
-            unsent = begin(send, number, until);
+    std::optional<Outcome> unsent = Outcome::superseded;
+    if (may_begin(*request, number)) try {
+            unsent = begin(send, number);
         } catch (const std::exception& error) {
             log(std::string("an attempt failed: ") + error.what());
-            unsent = Outcome::superseded;
         }
     if (unsent) ended(send.id, number, *unsent, nullptr);
 }
 
+// The one place that says whether an attempt may begin: asked ahead of its start, and once more ahead of its
+// first byte where a connection had to be made meanwhile.
+bool Pool::may_begin(const Book::OpenRequest& request, std::uint32_t number) const {
+    if (request.ended || !request.call->may_start(number)) return false;  // its client has gone, say
+    const OpenAttempt& attempt = request.attempts[number];
+    const Millis now = engine_.now();
+    if (!attempt.out || now >= attempt.begin_by) return false;
+    const Book::KnownServer* const server = ledger_.server(attempt.server);
+    if (!server || !server->machine) return false;
+    const bool started = attempt.exchange != 0;
+    return server->off_since < 0 ? server->listed : started && now - server->off_since <= kDrainGrace;
+}
+
 // The outcome, where it can't even begin.
-std::optional<Outcome> Pool::begin(const Send& send, std::uint32_t number, Millis until) {
+std::optional<Outcome> Pool::begin(const Send& send, std::uint32_t number) {
     Book::OpenRequest& request = *ledger_.request(send.id);
     OpenAttempt& attempt = request.attempts[number];
-    attempt.limit = engine_.add_due(until, Engine::AttemptLimit{this, send.id, number});
+    attempt.limit = engine_.add_due(attempt.begin_by, Engine::AttemptLimit{this, send.id, number});
     const Transport::Attempt what{id_, ledger_.server(send.server)->machine, request.call,
-                                  until - engine_.now(), request.careful};
+                                  attempt.until - engine_.now(), request.careful};
     const Transport::Begun begun = transport_.start(what, {send.id, number}, *this);
     attempt.exchange = begun.exchange;
     return begun.ended;
@@ -303,10 +312,7 @@
 
 bool Pool::attempt_wanted(Transport::Key key) const {
     const Book::OpenRequest* const request = ledger_.request(key.request);
-    if (!request || key.attempt >= request->attempts.size() || !request->attempts[key.attempt].out)
-        return false;
-    const Book::KnownServer* const server = ledger_.server(request->attempts[key.attempt].server);
-    return server && (server->off_since < 0 || engine_.now() - server->off_since <= kDrainGrace);
+    return request && key.attempt < request->attempts.size() && may_begin(*request, key.attempt);
 }
 
 bool Pool::attempt_begun(Transport::Key key) {
@@ -328,9 +334,14 @@
 // ----------------------------------------------------------------------------------------------------
 
 void Pool::attempt_over(RequestId id, std::uint32_t number) {
-    const Book::OpenRequest* const request = ledger_.request(id);
+    Book::OpenRequest* const request = ledger_.request(id);
     if (!request || !request->attempts[number].out) return;
-    const bool written = transport_.stop(request->attempts[number].exchange);
+    OpenAttempt& attempt = request->attempts[number];
+    if (engine_.now() < attempt.until && transport_.written(attempt.exchange)) {  // it was in time
+        attempt.limit = engine_.add_due(attempt.until, Engine::AttemptLimit{this, id, number});
+        return;
+    }
+    const bool written = transport_.stop(attempt.exchange);
     ended(id, number, written ? Outcome::overdue : Outcome::refused_connection, nullptr);
 }
 
--- a/src/engine/pool.hpp
+++ b/src/engine/pool.hpp
@@ -94,7 +94,8 @@
         ExchangeId exchange = 0;
         ServerId server = 0;
         Millis sent = 0;
-        DueHandle limit{};
+        Millis begin_by = 0, until = 0;
+        DueHandle limit{};  // at begin_by, then at until
         bool out = true;
         bool begun = false;  // its answer is passed on as it comes
     };
@@ -127,7 +128,8 @@
     void carry_out(const Send& send);
     void carry_out(const Cancel& cancel);
     void carry_out(const SetTimer& timer);
-    std::optional<Outcome> begin(const Send& send, std::uint32_t attempt, Millis until);
+    bool may_begin(const Book::OpenRequest& request, std::uint32_t attempt) const;
+    std::optional<Outcome> begin(const Send& send, std::uint32_t attempt);
     std::shared_ptr<Call> finish(RequestId request, Final final);
     void ended(RequestId request, std::uint32_t attempt, Outcome outcome, std::unique_ptr<Answer> answer);
     void probe(ServerId server);
--- a/src/engine/transport.hpp
+++ b/src/engine/transport.hpp
@@ -27,8 +27,8 @@
     class Listener {
     public:
         // Asked when a connection that had to be made has come up, just ahead of the request's first byte.
-        // False: its server was told to drain, or is gone, for too long: nothing is written, and the exchange
-        // ends as superseded.
+        // False: it may not begin any more (Pool::may_begin): nothing is written, and the exchange ends as
+        // superseded.
         virtual bool attempt_wanted(Key key) const = 0;
         // The final answer has begun and would be passed on as it comes. False: it is not wanted any more.
         virtual bool attempt_begun(Key key) = 0;
@@ -67,6 +67,8 @@
     virtual Begun start(const Attempt& attempt, Key key, Listener& listener) noexcept = 0;
     // Stops waiting; the listener hears no more of it. False: the request was provably never written whole.
     virtual bool stop(ExchangeId exchange) noexcept = 0;
+    // Whether the request's last byte has provably been written. False for an exchange that is not known.
+    virtual bool written(ExchangeId exchange) const noexcept = 0;
     // Ends as probe_ended() within `timeout` milliseconds.
     virtual void probe(PoolId pool, MachineId machine, Millis timeout, Listener& listener) = 0;
 };
--- a/src/http/transport.hpp
+++ b/src/http/transport.hpp
@@ -23,6 +23,7 @@
     void close_idle(MachineId machine) override { upstream_.close_idle(machine); }
     Begun start(const Attempt& attempt, Key key, Listener& listener) noexcept override;
     bool stop(ExchangeId exchange) noexcept override { return upstream_.stop(exchange); }
+    bool written(ExchangeId exchange) const noexcept override { return upstream_.written(exchange); }
     // GET /ping, as the platform's servers know it.
     void probe(PoolId pool, MachineId machine, Millis timeout, Listener& listener) override;
 
--- a/src/http/upstream.cpp
+++ b/src/http/upstream.cpp
@@ -118,6 +118,8 @@
         return ran;
     }
 
+    bool written() const { return written_; }
+
     // Of what is passed on as it comes, either way: whether it has stood still for too long.
     bool stalled(std::chrono::steady_clock::time_point now) const {
         if (!exchange_ || !exchange_->request.judge || (!out_stream_ && written_)) return false;
@@ -653,6 +655,11 @@
     return connection->stop();
 }
 
+bool Upstream::written(ExchangeId id) const {
+    const auto at = exchanges_.find(id);
+    return at != exchanges_.end() && at->second->written();
+}
+
 void Upstream::ended(ExchangeId exchange, const Done& done, Outcome outcome, Response response,
                      Trailers trailers) {
     exchanges_.erase(exchange);
--- a/src/http/upstream.hpp
+++ b/src/http/upstream.hpp
@@ -107,6 +107,8 @@
     // Stops waiting; Done is not called any more. False: the request was provably never written whole. True
     // for an exchange that is not known (any more).
     bool stop(ExchangeId exchange);
+    // Whether the request's last byte has been written. False for an exchange that is not known (any more).
+    bool written(ExchangeId exchange) const;
 
     struct Stats {
         std::size_t open = 0, opened = 0;
--- a/src/ldap/transport.cpp
+++ b/src/ldap/transport.cpp
@@ -110,6 +110,10 @@
         return id;
     }
     // Whether it may have been written whole.
+    bool written(MessageId id) const {
+        const auto at = open_.find(id);
+        return at != open_.end() && written_whole(at->second);
+    }
     bool stop(MessageId id) {
         const auto at = open_.find(id);
         if (at == open_.end()) return true;
@@ -282,6 +286,7 @@
             tls_->drain(out_);
         }
     }
+    bool written_whole(const Open& o) const { return o.end > 0 && o.end <= sent_; }
     std::size_t encoded() const { return sent_ + (out_.size() - out_at_); }
 
     void pump_soon() {
@@ -543,7 +548,7 @@
         close();
         for (auto& [id, o] : open) {
             if (alive.expired()) return;
-            const bool written = o.end > 0 && o.end <= sent_;
+            const bool written = written_whole(o);
             o.listener->attempt_ended(o.key, written ? Outcome::severed : unsent, nullptr);
         }
     }
@@ -745,6 +750,11 @@
     }
 }
 
+bool LdapTransport::written(ExchangeId exchange) const noexcept {
+    const auto at = exchanges_.find(exchange);
+    return at != exchanges_.end() && at->second.connection->written(at->second.id);
+}
+
 void LdapTransport::probe(PoolId, MachineId machine, Millis, Listener& listener) {
     listener.probe_ended(machine, Outcome::superseded);
 }
--- a/src/ldap/transport.hpp
+++ b/src/ldap/transport.hpp
@@ -55,6 +55,7 @@
     void close_idle(MachineId machine) override;
     Begun start(const Attempt& attempt, Key key, Listener& listener) noexcept override;
     bool stop(ExchangeId exchange) noexcept override;
+    bool written(ExchangeId exchange) const noexcept override;
     // There are none: it ends as superseded, at once.
     void probe(PoolId pool, MachineId machine, Millis timeout, Listener& listener) override;
     // Of a pool's idle connections at least so many, those idle longest first; returns how many there were.
--- a/src/policy/balance.cpp
+++ b/src/policy/balance.cpp
@@ -9,6 +9,7 @@
 // may_refuse() the only gates: no send and no refusal leaves without passing them.
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <map>
 #include <set>
 #include <tuple>
@@ -76,6 +77,7 @@
 // share of what is too much for the time passed, looked at so often at most.
 constexpr Millis kRest = 60000, kNarrow = 200;
 constexpr long kSlack = 2;
+constexpr Millis kEver = std::numeric_limits<Millis>::infinity();
 constexpr Millis kResubscribe = 1000;  // first wait after a failed call for the list; doubles up to 8 of it
 
 }  // namespace
@@ -181,9 +183,27 @@
         if (r.ended || r.streaming || now >= r.deadline) return false;  // rule 1
         if (r.attempts.size() >= settings.max_attempts) return false;
         if (r.any_out() && (!settings.parallel_tries || r.kind.effect == Effect::once)) return false;
-        const Attempt* first = r.first_possible_run();  // rule 2
-        if (!first || r.kind.effect == Effect::repeatable) return true;
-        return r.kind.effect == Effect::by_key && now < first->sent_at + r.kind.dedup_window;
+        return now < begin_by(r);  // rule 2
+    }
+
+    // Until when a copy may run beside what may have run already. A key's memory counts from the earliest
+    // moment at which that can have been: when it was sent.
+    Millis copies_until(const Request& r) const {
+        const Attempt* first = r.first_possible_run();
+        if (!first || r.kind.effect == Effect::repeatable) return kEver;
+        return r.kind.effect == Effect::by_key ? first->sent_at + r.kind.dedup_window : -kEver;
+    }
+    // Until when a further attempt has to be written whole, so that it also begins in time: at its server it
+    // may queue. Nobody tells for how long; what is answered within what an answer takes, be it as agreed or
+    // of late, has begun by then. What is slower is withdrawn at copies_until (dispatch()).
+    Millis begin_by(const Request& r) const {
+        const Millis until = copies_until(r);
+        return std::isinf(until) ? until : until - std::max(r.kind.aim, answer_time(r));
+    }
+    // Of an answer of its class, of late.
+    Millis answer_time(const Request& r) const {
+        const auto at = took.find(r.class_index);
+        return at == took.end() ? kAimShare * r.kind.aim : at->second.mean.value;
     }
 
     bool may_send(const Request& r, Server& s) {
@@ -199,11 +219,10 @@
     }
 
     bool may_refuse(const Request& r) const {
-        const Attempt* first = r.first_possible_run();
         if (r.ended || r.streaming) return false;
-        if (!first || r.kind.effect == Effect::repeatable) return true;
-        return r.kind.effect == Effect::by_key && r.kind.dedup_scope == DedupScope::all &&
-               now < first->sent_at + r.kind.dedup_window;
+        const bool anywhere = r.kind.effect != Effect::by_key || r.kind.dedup_scope == DedupScope::all;
+        if (!anywhere && r.first_possible_run()) return false;
+        return now + answer_time(r) < begin_by(r);  // its client comes back when we tell it to
     }
 
     // Slow start. A server of age a does at least cold_from of its work, rising evenly to all of it at
@@ -849,7 +868,7 @@
     void hold(Request& r) {
         if (r.any_out()) return;
         if (now >= r.hold_until || r.attempts.size() >= settings.max_attempts || forsaken(r) ||
-            (r.first_possible_run() && r.kind.effect == Effect::once))
+            now >= begin_by(r))
             return finish(r);
         held.push_back(r.id);
         if (r.waiting) return;
@@ -871,8 +890,10 @@
         outstanding += !cold;
         const bool proof = hopeless(r);
         if (proof) took[r.class_index].proof_at = now;
+        const Send send{r.id, s.info.id, std::min(r.deadline, copies_until(r)),
+                        std::min(r.deadline, begin_by(r))};
         r.attempts.push_back({s.info, now, true, true, trial, cold, proof});
-        act(Send{r.id, s.info.id, r.deadline});
+        act(send);
     }
 
     void on(const FirstByte& e) {
@@ -939,18 +960,12 @@
         done.push_back(e.id);
     }
 
-    // When a refused client had better come back: what is out now has been answered by then and left its
-    // room.
-    Millis come_back(const Request& r) const {
-        const auto at = took.find(r.class_index);
-        return at == took.end() ? kAimShare * r.kind.aim : at->second.mean.value;
-    }
-
-    // The only final answer: a refusal where that is true, else a failure.
+    // The only final answer: a refusal where that is true, else a failure. A refused client had better come
+    // back when what is out now has been answered and left its room.
     void finish(Request& r) {
         if (r.ended || r.streaming) return;
         cancel_all(r);
-        act(may_refuse(r) ? Action(Refuse{r.id, come_back(r)}) : Action(GiveUp{r.id}));
+        act(may_refuse(r) ? Action(Refuse{r.id, answer_time(r)}) : Action(GiveUp{r.id}));
         r.ended = true;
         done.push_back(r.id);
     }
--- a/tests/rig/engine_rig.hpp
+++ b/tests/rig/engine_rig.hpp
@@ -62,6 +62,10 @@
         out.erase(at);
         return written;
     }
+    bool written(ExchangeId id) const noexcept override {
+        const auto at = out.find(id);
+        return at != out.end() && at->second.written;
+    }
     void probe(PoolId, MachineId machine, Millis, Listener& listener) override {
         listener.probe_ended(machine, Outcome::completed);
     }
--- a/tests/rig/rig.hpp
+++ b/tests/rig/rig.hpp
@@ -202,7 +202,8 @@
                 if (s.may_have_run && !first) first = &s;
             if (first) {
                 EXPECT_TRUE(r.kind.effect == Effect::repeatable ||
-                            (r.kind.effect == Effect::by_key && r.kind.dedup_scope == DedupScope::all))
+                            (r.kind.effect == Effect::by_key && r.kind.dedup_scope == DedupScope::all &&
+                             now + refuse->retry_in < first->at + r.kind.dedup_window - r.kind.aim))
                     << "rule 2: refused after a possible run";
             }
             r.refused = true;
@@ -259,7 +260,10 @@
             }
         }
         if (first && r.kind.effect == Effect::by_key) {
-            EXPECT_LT(now, first->at + r.kind.dedup_window) << "rule 2: after the window";
+            const Millis forgotten = first->at + r.kind.dedup_window;
+            EXPECT_LT(now, send.begin_by) << "rule 2: begun at once, and too late";
+            EXPECT_LE(send.begin_by, forgotten - r.kind.aim) << "rule 2: it may queue past the window";
+            EXPECT_LE(send.try_until, forgotten) << "rule 2: after the window";
         }
         r.sent.push_back({send.server, now, send.try_until > 0 ? send.try_until : r.deadline, true, true});
     }
--- a/tests/unit/rules_test.cpp
+++ b/tests/unit/rules_test.cpp
@@ -184,12 +184,12 @@
 }
 
 TEST(Rule2, ByKeyStaysInItsZoneAndWindow) {
-    Rig rig(make_settings({make_class(Effect::by_key, DedupScope::zone, 300)}));
+    Rig rig(make_settings({make_class(Effect::by_key, DedupScope::zone, 700)}));  // of 400 it may queue
     rig.list(ListKind::full, make_servers(9));
     for (int i = 0; i < 30; ++i) {
         const RequestId id = rig.request();
         const ServerId first = rig.where(id);
-        rig.end(id, i % 2 ? Outcome::errored : Outcome::severed, i % 3 ? 10 : 400);
+        rig.end(id, i % 2 ? Outcome::errored : Outcome::severed, i % 3 ? 10 : 300);
         if (i % 3) {
             EXPECT_EQ(rig.where(id) % 3, first % 3);
         } else {
