One way to end a client's connection, and a drain that ends when nobody is left

Seen over loopback sockets. A client that rested and whose end nobody had read yet when accepting ended ended the program: last_chance read it, closed the connection and then answered 503 on it, through a door that was gone (segmentation fault). A resting connection was closed at once, so a request that crossed it was reset. A linger of 300 ms was closed although the answer had not been taken, so what such a client sent next reset the answer away; and 500 ms after the last answer the program ended under lingers and writes alike. Ruled out: a head or body that is half read (503, its rest is dropped under no reset), an attempt that is out, requests that lie unread as accepting ends (taken), and bytes behind a half-close (dropped).

Resting connections, those that have only connected and idle ones whose time is up now end as answered ones do: half-close, linger, close. A linger lasts up to 2.5 s while the client's machine has not acknowledged all, or where something came early, and what has come by its end is read ahead of the close, also of one that makes room. The door counts no open requests any more: a drain ends when no guest is left, as each state of a guest has its own limit; in haste after 500 ms at the latest, on the platform's profile too. A connection that was told that it stays, and whose answer went out as accepting ended, has the last chance of all others.

--- a/src/app/sidecar.cpp
+++ b/src/app/sidecar.cpp
@@ -109,7 +109,7 @@
 
 void Sidecar::hurry() {
     if (!drained_) return;
-    front_->stop_accepting();
+    front_->hurry();
     engine_.hurry();
 }
 
--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -199,13 +199,14 @@
     }
     void out_of_time() override {
         if (phase_ == Phase::reading) return reject(http::status::request_timeout);
-        close();
+        phase_ == Phase::idle ? finish(false) : close();
     }
     void last_chance() override {
         const auto self = shared_from_this();
-        if (phase_ == Phase::idle) unread() == asio::error::would_block ? close() : begin();
+        if (phase_ == Phase::idle)
+            pending_.empty() && unread() == asio::error::would_block ? finish(false) : begin();
         for (int reads = 0; phase_ == Phase::reading && reads < kMostReads && !unread(); ++reads) read();
-        if (phase_ == Phase::reading) reject(http::status::service_unavailable);
+        if (door_ && phase_ == Phase::reading) reject(http::status::service_unavailable);
     }
 
     void answer(Reply reply) {
@@ -283,16 +284,14 @@
         if (call && call->pool) call->pool->gone(call->id);
     }
     // It waits for the module no more.
-    void waited() noexcept {
-        call_.reset();
-        if (std::exchange(taken_, false)) front_.door_.ended();
-    }
+    void waited() noexcept { call_.reset(); }
 
     // After each answer.
     void next() {
         phase_ = Phase::idle;
         door_->places().idles(place, steady_now());
         limit(0);
+        if (door_->shut()) return last_chance();
         if (!pending_.empty())  // its next request, early
             return asio::post(door_->io(), [self = shared_from_this(), this] {
                 if (door_ && phase_ == Phase::idle) begin();
@@ -303,7 +302,7 @@
     void answered() {
         std::string().swap(out_);
         std::string().swap(body_);
-        keep_ && !door_->shut() ? next() : end();
+        keep_ ? next() : end();
     }
     void end() { finish(may_be_sending_ || !pending_.empty()); }
 
@@ -431,8 +430,6 @@
         const auto self = std::static_pointer_cast<Client>(shared_from_this());
         call_ = std::make_shared<Request>(self, std::move(message));
         phase_ = Phase::waiting;
-        door_->taken();
-        taken_ = true;
         wait_readable();
         // Asked anew: what its head was read by may have been replaced since.
         const auto place = front_.callbacks_.place(call_->head());
@@ -468,7 +465,6 @@
     Phase phase_ = Phase::idle;
     bool keep_ = true, head_only_ = false;
     bool may_be_sending_ = false;  // when its last answer has gone out
-    bool taken_ = false;  // counted by the door
     bool begun_ = false;  // its answer is on its way
 };
 
--- a/src/http/web.cpp
+++ b/src/http/web.cpp
@@ -235,17 +235,19 @@
         door_->rested();
     }
     bool spare() const override {
-        return phase_ == Phase::head || (phase_ == Phase::idle && unread() != error_code());
+        return phase_ == Phase::head ||
+               (phase_ == Phase::idle && pending_.empty() && unread() != error_code());
     }
     void out_of_time() override {
         if (phase_ == Phase::head || reading_body_) return spoilt(408);
-        close();
+        phase_ == Phase::idle ? finish(false) : close();
     }
     void last_chance() override {
         const auto self = shared_from_this();
-        if (phase_ == Phase::idle) unread() == asio::error::would_block ? close() : begin();
+        if (phase_ == Phase::idle)
+            pending_.empty() && unread() == asio::error::would_block ? finish(false) : begin();
         for (int reads = 0; phase_ == Phase::head && reads < kMostReads && !unread(); ++reads) read();
-        if (phase_ == Phase::head || phase_ == Phase::body) reject(503);
+        if (door_ && (phase_ == Phase::head || phase_ == Phase::body)) reject(503);
     }
 
     // The whole answer of a server.
@@ -309,7 +311,6 @@
         const bool refused = phase_ == Phase::head || phase_ == Phase::body || phase_ == Phase::waiting;
         const bool failed = phase_ == Phase::answering && !begun_;
         waited();
-        over();
         phase_ = Phase::answering;
         say_last(refused
                      ? "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
@@ -591,8 +592,6 @@
 
     void take() {
         phase_ = Phase::waiting;
-        door_->taken();
-        taken_ = true;
         const PoolView pool = web_.callbacks_.pool(call_->pool_name);
         if (!pool.pool) {
             const auto call = call_;
@@ -750,8 +749,7 @@
             return;
         }
         std::string().swap(out_);
-        over();
-        keep_ && !door_->shut() ? next() : finish(rejected_);
+        keep_ ? next() : finish(rejected_ || !pending_.empty());
     }
     // Not at once: whoever takes much is no more than one among all.
     void pump_later() {
@@ -765,6 +763,7 @@
         rejected_ = false;
         door_->places().idles(place, steady_now());
         limit(web_.options_.idle_timeout);
+        if (door_->shut()) return last_chance();
         if (!pending_.empty())  // its next request, early
             return asio::post(door_->io(), [self = shared_from_this(), this] {
                 if (door_ && phase_ == Phase::idle) begin();
@@ -778,7 +777,6 @@
         const auto call = call_;
         drop_stream();
         waited();
-        over();
         if (!call) return;
         Pool* const pool = call->pool;
         call->leave();
@@ -789,10 +787,6 @@
         if (call_ && call_->route) write_limit_ = call_->route->handling.stream_idle;
         call_.reset();
     }
-    // Its request has been answered to the last byte, or nobody is there to take it.
-    void over() noexcept {
-        if (std::exchange(taken_, false)) web_.door_.ended();
-    }
 
     Web& web_;
     std::string pending_;  // read and not parsed
@@ -809,7 +803,6 @@
     bool woken_ = true;          // its time for a head runs since its connecting
     bool reading_body_ = false;  // more of a request's body is to come
     bool paused_ = false;        // and is not read at present
-    bool taken_ = false;         // counted by the door
     bool begun_ = false, last_ = false, chunked_ = false, writing_ = false;
 };
 
--- a/src/ldap/listener.cpp
+++ b/src/ldap/listener.cpp
@@ -397,7 +397,6 @@
         if (ops_.empty()) door_->places().wakes(place, steady_now());
         door_->places().asked(place, false, steady_now());
         ops_[op->id] = op;
-        door_->taken();
         watch();
         view.pool->take(op, arrival);
     }
@@ -419,7 +418,6 @@
         Pool* const pool = op->pool;
         const RequestId request = op->Call::id;
         op->leave();
-        door_ended();
         if (pool) pool->gone(request, op->unsafe && op->sent());
     }
     void abandon(MessageId target) {
@@ -428,7 +426,7 @@
         const auto op = at->second;
         ops_.erase(at);
         forget(op);
-        counted_ops();
+        counted();
     }
     // RFC 3909.
     void cancel(const Message& message, const Request& request) {
@@ -440,7 +438,7 @@
         result(*op, canceled, "");
         forget(op);
         answer(message, request, success, "");
-        counted_ops();
+        counted();
     }
 
     // ---- Binds
@@ -599,15 +597,8 @@
               : now == Waits::idle    ? owner_.options_.idle_timeout
                                       : 0);
     }
-    void door_ended() {
-        if (door_) owner_.door_.ended();
-    }
-    // One operation fewer, which the door counts too.
+    // One operation fewer.
     void counted() {
-        door_ended();
-        counted_ops();
-    }
-    void counted_ops() {
         if (!door_) return;
         if (ops_.empty()) {
             waits_ = Waits::nothing;
@@ -644,7 +635,6 @@
             Pool* const pool = op->pool;
             const RequestId request = op->Call::id;
             op->leave();
-            owner_.door_.ended();
             if (pool) pool->gone(request, op->unsafe && op->sent());
         }
         sessions_.clear();
--- a/src/listen/door.cpp
+++ b/src/listen/door.cpp
@@ -1,6 +1,8 @@
 #include "listen/door.hpp"
 
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <unistd.h>
 
 #include <boost/asio/post.hpp>
@@ -18,10 +20,11 @@
 
 constexpr Millis kAcceptPause = 20;  // when there is no room, or no descriptor to be had
 constexpr Millis kSweep = 250;       // between looks at whose time is up, which this adds to their limits
-// How long the client's end is awaited after a last answer; longer where it may still be sending.
+// How long the client's end is awaited after a last answer; longer where it may still be sending, or has not
+// got all of the answer.
 constexpr Millis kLinger = 300, kLongLinger = 2500;
-// Of a drain, once nothing that was taken is without an answer: for the answers to be taken.
-constexpr Millis kLastWrites = 500;
+constexpr int kLastReads = 8;   // of what a client has sent, ahead of its connection's close
+constexpr Millis kHaste = 500;  // of a drain in haste, for answers to be taken
 
 }  // namespace
 
@@ -79,6 +82,7 @@
 void Door::Guest::finish(bool may_be_sending) {
     finishing_ = true;
     door_->places_.ends(place, steady_now());
+    longest_linger_ = Clock::now() + span(kLongLinger);
     limit(may_be_sending ? kLongLinger : kLinger);
     error_code ignored;
     socket_.shutdown(Tcp::socket::shutdown_send, ignored);
@@ -93,6 +97,24 @@
     wait_readable();
 }
 
+// Bytes, or our half-close, that the client's machine has not acknowledged.
+bool Door::Guest::undelivered() {
+    int size = 0;
+    return ::ioctl(socket_.native_handle(), SIOCOUTQ, &size) == 0 && size > 0;
+}
+
+// The next sweep looks again while there is time.
+void Door::Guest::linger_over(Clock::time_point now) {
+    if (now >= longest_linger_ || !undelivered()) drop();
+}
+
+// The end of a client that has not ended its connection itself: over no unread bytes either.
+void Door::Guest::drop() {
+    error_code error;
+    for (int reads = 0; reads < kLastReads && !error; ++reads) receive(error);
+    close();
+}
+
 void Door::Guest::say_last(std::string_view bytes) noexcept {
     try {
         error_code ignored;
@@ -158,7 +180,7 @@
     });
     const auto now = Clock::now();
     for (const GuestPtr& guest : all())
-        if (guest->overdue(now)) guest->finishing_ ? guest->close() : guest->out_of_time();
+        if (guest->overdue(now)) guest->finishing_ ? guest->linger_over(now) : guest->out_of_time();
 }
 
 void Door::accept() {
@@ -230,7 +252,7 @@
         return guest->finishing_ || guest->spare();
     };
     const auto least = places_.least_worth(steady_now(), spare);
-    if (least) GuestPtr(guests_.at(*least))->close();
+    if (least) GuestPtr(guests_.at(*least))->drop();
     return least.has_value();
 }
 
@@ -257,12 +279,7 @@
     asio::post(io_, [this, alive = alive()] {
         if (!alive.expired()) accept();
     });
-    last_writes();
-}
-
-void Door::ended() {
-    --open_;
-    last_writes();
+    end_drain();
 }
 
 void Door::drain(Millis accepting) {
@@ -290,25 +307,23 @@
     shut_acceptor();
     for (const GuestPtr& guest : all())
         if (!guest->finishing_) guest->last_chance();
-    last_writes();
+    end_drain();
 }
 
 void Door::hurry() {
-    hurried_ = true;
+    if (std::exchange(hurried_, true)) return;
     stop_accepting();
-    last_writes();
-}
-
-// At the end of a drain: once nothing is without an answer, and at the latest when who is being answered has
-// had the time to take it.
-void Door::last_writes() {
-    if (!draining_ || acceptor_.is_open() || (open_ > 0 && !hurried_) || !drained_) return;
-    if (guests_.empty()) return asio::post(io_, std::exchange(drained_, nullptr));
-    if (std::exchange(last_call_, true)) return;
-    drain_timer_.expires_after(span(kLastWrites));
+    drain_timer_.expires_after(span(kHaste));
     drain_timer_.async_wait([this, alive = alive()](error_code cancelled) {
         if (!cancelled && !alive.expired() && drained_) std::exchange(drained_, nullptr)();
     });
 }
 
+// Once nobody is left. Each state of a guest has its own limit in time: its request's
+// deadline, the writing of its answer, its linger.
+void Door::end_drain() {
+    if (shut() && guests_.empty() && drained_)
+        asio::post(io_, std::exchange(drained_, nullptr));
+}
+
 }  // namespace whinledge
--- a/src/listen/door.hpp
+++ b/src/listen/door.hpp
@@ -35,10 +35,11 @@
         virtual bool spare() const = 0;
         virtual void out_of_time() = 0;
         // Accepting ends: all that has come of a request is read, what is not whole then is refused. Who says
-        // nothing goes.
+        // nothing is ended in good order: a request that crosses this is never sent on.
         virtual void last_chance() = 0;
 
         bool overdue(Clock::time_point now) const { return now >= limit_; }
+        // At once: of a connection that has ended or broken by itself.
         void close();
 
         const Places::Id place;
@@ -62,8 +63,8 @@
         void wait_readable();
         // Bytes of what can be had at once, in the door's buffer; empty with would_block.
         std::string_view receive(error_code& error);
-        // Closing over unread bytes would reset the connection and could take the answer with it: the
-        // client's end is awaited, for a while, and what it still sends is dropped.
+        // Closing over unread bytes would reset the connection and could take the answer with it: a
+        // half-close, then a linger, in which the client's end is awaited and what it still sends is dropped.
         void finish(bool may_be_sending);
         bool finishing() const { return finishing_; }
         void discard();
@@ -75,7 +76,12 @@
 
     private:
         friend class Door;
+        bool undelivered();
+        void linger_over(Clock::time_point now);
+        void drop();
+
         Clock::time_point limit_ = Clock::time_point::max();
+        Clock::time_point longest_linger_;
         bool waiting_ = false, finishing_ = false;
     };
     using GuestPtr = std::shared_ptr<Guest>;
@@ -99,7 +105,7 @@
     };
 
     // Listens at once; throws boost::system::system_error where it can't. `drained` is called once, after a
-    // drain, when no guest is left or the last answers have had their time.
+    // drain, when no guest is left, in haste a moment later at the latest.
     Door(boost::asio::io_context& io, const Listen& listen, std::size_t places, Make make,
          std::function<void()> drained, std::function<void(const std::string&)> log, Budget budget = {});
     ~Door();
@@ -115,16 +121,13 @@
     std::size_t queued() const;
     boost::asio::io_context& io() { return io_; }
 
-    // A guest's request has been taken, and has its answer or has lost its client.
-    void taken() { ++open_; }
-    void ended();
     // A guest may make room now.
     void rested();
 
     // Goes on taking requests for that long, while draining() holds; then stop_accepting().
     void drain(Millis accepting);
     void stop_accepting();
-    // The same, and whoever is still being answered after a moment is cut off.
+    // The same, and whoever is left after a moment is cut off.
     void hurry();
     bool draining() const { return draining_; }
     // Nothing new is taken any more, on kept connections neither.
@@ -142,7 +145,7 @@
     std::vector<GuestPtr> all() const;
     void sweep();
     void closed(const Guest& guest);
-    void last_writes();
+    void end_drain();
 
     boost::asio::io_context& io_;
     Tcp::acceptor acceptor_;
@@ -157,9 +160,8 @@
     Places places_;
     std::unordered_map<Places::Id, GuestPtr> guests_;
     Places::Id next_guest_ = 1;
-    std::size_t open_ = 0;                   // requests taken and not answered
     std::array<char, 16 * 1024> scratch_{};  // what is read, before it is a guest's own
-    bool draining_ = false, accepting_ = false, last_call_ = false, hurried_ = false;
+    bool draining_ = false, accepting_ = false, hurried_ = false;
     // What waits in the loop's queue may come after the door's end, timers that have run out too.
     const std::shared_ptr<Door*> self_ = std::make_shared<Door*>(this);
     std::weak_ptr<Door*> alive() const { return self_; }
--- /dev/null
+++ b/tests/integration/shutdown_test.cpp
@@ -0,0 +1,370 @@
+// The end of a process at each state of its clients' connections: what was taken is answered in time, what is
+// read after our half-close is sent on to nobody, and no close takes an answer with it.
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <thread>
+
+#include "rig/net_rig.hpp"
+
+namespace whinledge::test {
+namespace {
+
+constexpr const char* kHealth = "GET /_health HTTP/1.1\r\nHost: app.svc\r\n\r\n";
+
+// A connection of the application of which every byte and the way in which it ends count.
+struct Peer {
+    Peer(asio::io_context& io, const Tcp::endpoint& to, int receive_buffer = 0) : socket(io) {
+        socket.open(Tcp::v4());
+        if (receive_buffer) socket.set_option(asio::socket_base::receive_buffer_size(receive_buffer));
+        socket.connect(to);
+    }
+    // Whether the other side still takes what is sent; over loopback a reset is there at once.
+    bool send(const std::string& bytes) {
+        error_code failed;
+        asio::write(socket, asio::buffer(bytes), failed);
+        int error = 0;
+        socklen_t size = sizeof error;
+        ::getsockopt(socket.native_handle(), SOL_SOCKET, SO_ERROR, &error, &size);
+        return !failed && error == 0;
+    }
+    void read() {
+        socket.async_read_some(asio::buffer(chunk), [this](error_code failed, std::size_t size) {
+            got.append(chunk.data(), size);
+            if (!failed) return read();
+            ended = true;
+            clean = failed == asio::error::eof;
+        });
+    }
+    bool answered(const std::string& status) const { return got.starts_with("HTTP/1.1 " + status); }
+
+    Tcp::socket socket;
+    std::array<char, 4096> chunk{};
+    std::string got;
+    bool ended = false, clean = false;
+};
+
+struct Shutdown : NetRig {
+    std::list<Peer> peers;
+    bool done = false;
+
+    ~Shutdown() override { peers.clear(); }
+    Peer& peer(int receive_buffer = 0) {
+        Peer& p = peers.emplace_back(io, sidecar->address(), receive_buffer);
+        if (!receive_buffer) p.read();
+        return p;
+    }
+    // One that has had an answer and rests.
+    Peer& resting() {
+        Peer& p = peer();
+        p.send(kHealth);
+        until([&] { return p.answered("200"); });
+        p.got.clear();
+        return p;
+    }
+    void drain() {
+        sidecar->drain([this] { done = true; });
+    }
+    // The time of accepting runs out while the loop has no turn; what comes meanwhile lies unread.
+    void accepting_runs_out() {
+        drain();
+        std::this_thread::sleep_for(std::chrono::milliseconds(520));
+    }
+    void until_over(Peer& p) {
+        until([&] { return p.ended; });
+        EXPECT_TRUE(p.clean) << "reset";
+    }
+};
+
+// Nobody has read its end yet when accepting ends.
+TEST_F(Shutdown, ARestingClientMayLeaveAsAcceptingEnds) {
+    start_with_a();
+    Peer& p = resting();
+    drain();
+    p.socket.close();
+    sidecar->hurry();  // ends accepting now
+    until([&] { return done; });
+    EXPECT_EQ(sidecar->clients(), 0u);
+}
+
+TEST_F(Shutdown, ARestingClientHasAHalfCloseAndWhatCrossesItIsSentOnToNobody) {
+    start_with_a();
+    Peer& p = resting();
+    drain();
+    sidecar->hurry();
+    EXPECT_TRUE(p.send(request("listen", "crosses"))) << "closed over it";
+    EXPECT_TRUE(p.send("GET /lis")) << "closed over it";
+    until_over(p);
+    EXPECT_EQ(p.got, "");
+    p.socket.close();
+    until([&] { return done; });
+    EXPECT_EQ(a.requests.size(), 0u);
+}
+
+// One that has said nothing yet is in the same place.
+TEST_F(Shutdown, AClientThatHasOnlyConnectedHasAHalfClose) {
+    start_with_a();
+    Peer& p = peer();
+    until([&] { return sidecar->clients() == 1; });
+    drain();
+    sidecar->hurry();
+    EXPECT_TRUE(p.send(kHealth));
+    EXPECT_TRUE(p.send(kHealth));
+    until_over(p);
+    EXPECT_EQ(p.got, "");
+}
+
+// All that the machine has of a request when accepting ends counts, read or not.
+TEST_F(Shutdown, WhatLiesUnreadAsAcceptingEndsIsTaken) {
+    start_with_a();
+    Peer &rests = resting(), &half = peer(), &fresh = peer();
+    const std::string body = request("deposit", "id-2", 3000, std::string(50000, 'x'));
+    half.send(body.substr(0, body.size() - 1));
+    until([&] { return sidecar->clients() == 3; });
+    rest();
+    accepting_runs_out();
+    rests.send(request("listen", "id-1"));
+    half.send(body.substr(body.size() - 1));
+    fresh.send(request("listen", "id-3"));
+    Peer& late = peer();  // connected, and not accepted
+    late.send(request("listen", "id-4"));
+    for (Peer& p : peers) {
+        until_over(p);
+        EXPECT_TRUE(p.answered("200")) << p.got;
+        EXPECT_TRUE(p.got.ends_with("served"));
+    }
+    EXPECT_EQ(a.requests.size(), 4u);
+}
+
+// A head or a body of which the rest is still coming: refused, and what comes is dropped under no reset.
+TEST_F(Shutdown, HalfARequestIsRefusedAndItsRestIsDropped) {
+    const std::string whole = request("deposit", "id-1", 3000, std::string(60000, 'x'));
+    for (const std::size_t sent : {std::size_t{20}, whole.size() - 1}) {
+        done = false;
+        start_with_a();
+        Peer& p = peer();
+        p.send(whole.substr(0, sent));
+        until([&] { return sidecar->clients() == 1; });
+        rest();
+        drain();
+        sidecar->hurry();
+        until([&] { return p.answered("503"); });
+        EXPECT_TRUE(p.send(whole.substr(sent)));
+        EXPECT_TRUE(p.send(request("listen", "behind-it")));
+        until_over(p);
+        EXPECT_NE(p.got.find("Connection: close"), std::string::npos);
+        p.socket.close();
+        until([&] { return done; });
+    }
+    EXPECT_EQ(a.requests.size(), 0u);
+}
+
+// An attempt is out, and an early next request lies behind it: the one has its answer, the other goes to
+// nobody.
+TEST_F(Shutdown, WhatIsOutIsAnsweredAndWhatComesBehindItIsNotSentOn) {
+    start_with_a();
+    a.script = silence;
+    Peer& p = peer();
+    p.send(request("deposit", "id-1", 3000));
+    until([&] { return a.requests.size() == 1; });
+    accepting_runs_out();
+    p.send(request("deposit", "id-2", 3000));
+    rest();
+    EXPECT_FALSE(done);
+    a.send(0, response("200 OK", "first"));
+    until_over(p);
+    EXPECT_TRUE(p.got.ends_with("first")) << p.got;
+    EXPECT_TRUE(p.send("GET /lis"));
+    p.socket.close();
+    until([&] { return done; });
+    EXPECT_EQ(a.requests.size(), 1u);
+}
+
+// A client that takes nothing for longer than a usual linger, and sends: its answer waits for it.
+TEST_F(Shutdown, AnAnswerThatIsNotTakenYetIsNotLostToWhatItsClientSends) {
+    start_with_a();
+    const std::string large(60000, 'y');
+    a.script = [&](const auto&) { return Reply{response("200 OK", large)}; };
+    Peer& p = peer(2048);
+    accepting_runs_out();
+    p.send(request("listen", "id-1"));
+    until([&] { return a.requests.size() == 1; });
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    asio::steady_timer linger(io, std::chrono::milliseconds(900));
+    bool over = false;
+    linger.async_wait([&](error_code) { over = true; });
+    until([&] { return over; });
+    EXPECT_FALSE(done) << "it is on its way";
+    p.send(request("listen", "id-2"));
+    p.read();
+    until_over(p);
+    EXPECT_TRUE(p.got.ends_with(large)) << p.got.size();
+    p.socket.close();
+    until([&] { return done; });
+    EXPECT_EQ(a.requests.size(), 1u);
+}
+
+// Who never ends its connection holds the end up for its linger, not for ever.
+TEST_F(Shutdown, ClientsThatNeverCloseDoNotHoldTheEndUp) {
+    start_with_a();
+    for (int i = 0; i < 5; ++i) resting();
+    Peer& half = peer();
+    half.send("GET /lis");
+    const auto begun = std::chrono::steady_clock::now();
+    drain();
+    until([&] { return done; });
+    EXPECT_LT(std::chrono::steady_clock::now() - begun, std::chrono::milliseconds(3700));
+    EXPECT_TRUE(half.answered("503"));
+}
+
+// Small writes are not held back, whatever the listener's profile.
+TEST(ShutdownOfADoor, AcceptedConnectionsHaveNoDelay) {
+    struct Guest final : Door::Guest {
+        Guest(Door& door, Places::Id place, Tcp::socket socket, bool& no_delay)
+            : Door::Guest(door, place, std::move(socket)), no_delay_(no_delay) {}
+        void welcome() override {
+            Tcp::no_delay option;
+            socket_.get_option(option);
+            no_delay_ = option.value();
+        }
+        bool spare() const override { return true; }
+        void out_of_time() override {}
+        void last_chance() override { close(); }
+        void readable(error_code) override {}
+        void broken() noexcept override {}
+        void left() override {}
+        bool& no_delay_;
+    };
+    asio::io_context io;
+    bool no_delay = false;
+    Door* made = nullptr;
+    Door door(
+        io, any_port, 4,
+        [&](Places::Id place, Tcp::socket socket) {
+            return std::make_shared<Guest>(*made, place, std::move(socket), no_delay);
+        },
+        [] {}, [](const std::string&) {});
+    made = &door;
+    Peer peer(io, door.address());
+    run_until(io, [&] { return door.guests() == 1; });
+    EXPECT_TRUE(no_delay);
+}
+
+// ---- The program
+// ------------------------------------------------------------------------------------------------
+
+struct ShutdownOfTheProgram : testing::Test {
+    std::filesystem::path folder =
+        std::filesystem::temp_directory_path() / ("whinledge-shutdown-" + std::to_string(::getpid()));
+    asio::io_context io;
+    ScriptedServer agent{io, [](const auto&) { return Reply{}; }};
+    ScriptedServer server{io, [](const auto&) { return Reply{response("200 OK", "served")}; }};
+    Tcp::endpoint listen = Tcp::acceptor(io, any_port).local_endpoint();
+    pid_t child = 0;
+    std::list<Peer> peers;
+
+    ShutdownOfTheProgram() {
+        std::filesystem::create_directories(folder);
+        std::ofstream(folder / "config.json")
+            << config_json(agent.address(), list_json(1, true, {{"s-a", server.address()}}), "1024",
+                           "127.0.0.1:" + std::to_string(listen.port()));
+        child = ::fork();
+        if (child == 0) {
+            ::setenv("LB_CONFIG", (folder / "config.json").c_str(), 1);
+            if (!std::freopen((folder / "log").c_str(), "w", stderr)) ::_exit(126);
+            ::execl(WHINLEDGE, WHINLEDGE, static_cast<char*>(nullptr));
+            ::_exit(127);
+        }
+        run_until(io, [&] {
+            try {
+                peer();
+                return true;
+            } catch (const boost::system::system_error&) {
+                peers.clear();
+                return false;
+            }
+        });
+    }
+    ~ShutdownOfTheProgram() override {
+        peers.clear();
+        if (child) ::kill(child, SIGKILL), ::waitpid(child, nullptr, 0);
+        std::filesystem::remove_all(folder);
+    }
+    Peer& peer() {
+        Peer& p = peers.emplace_back(io, listen);
+        p.read();
+        return p;
+    }
+    Peer& asking(const std::string& bytes) {
+        Peer& p = peer();
+        p.send(bytes);
+        return p;
+    }
+    // Waits until the program has ended by itself.
+    int status() {
+        int status = -1;
+        run_until(io, [&] { return ::waitpid(child, &status, WNOHANG) == child; });
+        child = 0;
+        return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+    }
+};
+
+// All states at once, on a server that hangs from then on, with clients that go on sending wherever they can,
+// a SIGHUP on top, and nobody who closes.
+TEST_F(ShutdownOfTheProgram, EachStateOfAConnectionEndsInGoodOrder) {
+    Peer &rests = asking(kHealth), &again = asking(kHealth);
+    run_until(io, [&] { return rests.answered("200") && again.answered("200"); });
+    again.got.clear();
+    rests.got.clear();
+    server.script = [](const auto&) { return Reply{}; };
+    Peer& out = asking(request("deposit", "id-1", 1500));
+    run_until(io, [&] { return server.requests.size() == 1; });
+    const std::string body = request("deposit", "id-2", 1500, std::string(60000, 'x'));
+    Peer &head = asking(body.substr(0, 30)), &half = asking(body.substr(0, body.size() - 1));
+    // The program has read them: it answers in the order in which bytes come.
+    Peer& after = asking(kHealth);
+    run_until(io, [&] { return after.answered("200"); });
+    const auto begun = std::chrono::steady_clock::now();
+    ::kill(child, SIGTERM);
+    ::kill(child, SIGHUP);
+    Peer& fresh = asking(request("deposit", "id-3", 1500));
+    run_until(io, [&] { return server.requests.size() == 2; });
+    again.send(request("deposit", "id-4", 1500));  // on a connection that is still open
+    run_until(io, [&] { return server.requests.size() == 3; });
+    const auto sent_on = server.requests.size();
+    run_until(io, [&] { return rests.ended && head.ended && half.ended; });
+    for (Peer* p : {&rests, &head, &half, &after}) p->send(request("deposit", "crosses", 1500));
+    run_until(io, [&] { return out.ended && fresh.ended && again.ended && after.ended; });
+    EXPECT_EQ(status(), 0);
+    EXPECT_LT(std::chrono::steady_clock::now() - begun, std::chrono::milliseconds(3700 + 500));
+    for (const Peer& p : peers) EXPECT_TRUE(p.clean || p.got.empty()) << p.got;
+    EXPECT_EQ(rests.got, "");
+    for (const Peer* p : {&head, &half}) EXPECT_TRUE(p->answered("503")) << p->got;
+    for (const Peer* p : {&out, &fresh, &again}) EXPECT_TRUE(p->answered("504")) << p->got;
+    EXPECT_EQ(server.requests.size(), sent_on);
+}
+
+// In haste: what is out fails, what has come whole by now has its end too, and nobody is reset under it.
+TEST_F(ShutdownOfTheProgram, ASecondSigtermAnswersWhatIsOpen) {
+    server.script = [](const auto&) { return Reply{}; };
+    Peer &rests = asking(kHealth), &out = asking(request("deposit", "id-1", 3000));
+    run_until(io, [&] { return rests.answered("200") && server.requests.size() == 1; });
+    Peer& half = asking(request("deposit", "id-2", 3000, "a song").substr(0, 60));
+    ::kill(child, SIGTERM);
+    Peer& late = asking(kHealth);
+    run_until(io, [&] { return late.ended; });  // closed with its answer: it drains
+    const auto begun = std::chrono::steady_clock::now();
+    ::kill(child, SIGTERM);
+    run_until(io, [&] { return out.ended && half.ended && rests.ended; });
+    EXPECT_EQ(status(), 0);
+    EXPECT_LT(std::chrono::steady_clock::now() - begun, std::chrono::milliseconds(2000));
+    EXPECT_TRUE(out.answered("502")) << out.got;
+    EXPECT_TRUE(half.answered("503")) << half.got;
+    for (const Peer* p : {&rests, &out, &half}) EXPECT_TRUE(p->clean);
+}
+
+}  // namespace
+}  // namespace whinledge::test
