A connection that comes in as accepting ends is answered

Seen over loopback: with a second connection in the backlog, accepting succeeds at once and its handler waits in the loop's queue; where accepting ended ahead of it, the handler dropped the connection, and with it a request that had come whole (a reset, no answer). Ruled out: connections still in the backlog then, which are taken.

The handler now takes it and gives it its last chance, and a drain does not end while one is on its way in. The descriptor that was asked for ahead is given back in one place, the handler.

ShutdownOfADoor.AConnectionThatIsComingInAsAcceptingEndsIsAnswered fails without this.

--- a/src/listen/door.cpp
+++ b/src/listen/door.cpp
@@ -167,7 +167,6 @@
     if (acceptor_.is_open()) shut_acceptor();
     if (std::exchange(accepting_, false) && budget_.leave) budget_.leave();
     for (const auto& [id, guest] : std::exchange(guests_, {})) guest->close();
-    if (accepting_ && budget_.leave) budget_.leave();  // what was asked for ahead
 }
 
 // Ends what has had its time.
@@ -188,19 +187,19 @@
     if (!make_room() || !enter()) return pause();
     insist([this] {
         acceptor_.async_accept([this, alive = alive()](error_code failed, Tcp::socket socket) {
-            if (failed == asio::error::operation_aborted || alive.expired()) return;
-            if (!acceptor_.is_open()) return;  // came as accepting ended, and has been given back
+            if (alive.expired()) return;
             accepting_ = false;
             if (failed && budget_.leave) budget_.leave();
             try {
                 if (!failed) {
-                    accepted(std::move(socket));
+                    const GuestPtr guest = accepted(std::move(socket));
+                    if (shut()) guest->last_chance();  // it came just as accepting ended
                     return accept();
                 }
             } catch (const std::exception& error) {
                 log_(std::string("a connection was not taken: ") + error.what());
             }
-            pause();  // out of descriptors, most likely
+            shut() ? end_drain() : pause();  // out of descriptors, most likely
         });
     });
     accepting_ = true;
@@ -215,7 +214,7 @@
     });
 }
 
-void Door::accepted(Tcp::socket socket) {
+Door::GuestPtr Door::accepted(Tcp::socket socket) {
     GuestPtr guest;
     try {
         guest = make_(next_guest_++, std::move(socket));
@@ -232,6 +231,7 @@
         places_.closed(guest->place);
         throw;
     }
+    return guest;
 }
 
 std::vector<Door::GuestPtr> Door::all() const {
@@ -303,7 +303,6 @@
         if (!failed && budget_.enter && !budget_.enter()) continue;  // nobody waits for it any more
         if (!failed) accepted(std::move(socket));
     }
-    if (std::exchange(accepting_, false) && budget_.leave) budget_.leave();
     shut_acceptor();
     for (const GuestPtr& guest : all())
         if (!guest->finishing_) guest->last_chance();
@@ -319,10 +318,10 @@
     });
 }
 
-// Once nobody is left. Each state of a guest has its own limit in time: its request's
+// Once nobody is left, here or on the way in. Each state of a guest has its own limit in time: its request's
 // deadline, the writing of its answer, its linger.
 void Door::end_drain() {
-    if (shut() && guests_.empty() && drained_)
+    if (shut() && !accepting_ && guests_.empty() && drained_)
         asio::post(io_, std::exchange(drained_, nullptr));
 }
 
--- a/src/listen/door.hpp
+++ b/src/listen/door.hpp
@@ -138,7 +138,7 @@
     void shut_acceptor();
     void accept();
     void pause();
-    void accepted(Tcp::socket socket);
+    GuestPtr accepted(Tcp::socket socket);
     bool make_room();
     bool enter();
     bool close_least();
@@ -161,7 +161,8 @@
     std::unordered_map<Places::Id, GuestPtr> guests_;
     Places::Id next_guest_ = 1;
     std::array<char, 16 * 1024> scratch_{};  // what is read, before it is a guest's own
-    bool draining_ = false, accepting_ = false, hurried_ = false;
+    bool draining_ = false, hurried_ = false;
+    bool accepting_ = false;  // a connection is awaited, or has come and waits in the loop's queue
     // What waits in the loop's queue may come after the door's end, timers that have run out too.
     const std::shared_ptr<Door*> self_ = std::make_shared<Door*>(this);
     std::weak_ptr<Door*> alive() const { return self_; }
--- a/tests/integration/shutdown_test.cpp
+++ b/tests/integration/shutdown_test.cpp
@@ -220,6 +220,40 @@
     EXPECT_TRUE(half.answered("503"));
 }
 
+// A connection that was accepted in the loop's last turn but one, and waits in its queue behind the end of
+// accepting.
+TEST(ShutdownOfADoor, AConnectionThatIsComingInAsAcceptingEndsIsAnswered) {
+    asio::io_context io;
+    std::optional<Front> front;
+    int entered = 0;
+    bool drained = false;
+    Door::Budget budget{[&] {
+                            // The first connection has come; the second is taken off the queue at once.
+                            if (++entered == 2) asio::post(io, [&] { front->stop_accepting(); });
+                            return true;
+                        },
+                        [&] { --entered; }};
+    front.emplace(
+        io, any_port, 8,
+        Front::Callbacks{
+            [](const auto&) { return std::nullopt; }, {}, [&] { drained = true; }, [](const std::string&) {}},
+        budget);
+    Peer first(io, front->address()), second(io, front->address());
+    for (Peer* p : {&first, &second}) {
+        p->send(kHealth);
+        p->read();
+    }
+    run_until(io, [&] { return first.ended && second.ended; });
+    for (const Peer* p : {&first, &second}) {
+        EXPECT_TRUE(p->clean);
+        EXPECT_TRUE(p->answered("200")) << p->got;
+    }
+    first.socket.close();
+    second.socket.close();
+    run_until(io, [&] { return drained; });
+    EXPECT_EQ(entered, 0) << "descriptors that nobody gave back";
+}
+
 // Small writes are not held back, whatever the listener's profile.
 TEST(ShutdownOfADoor, AcceptedConnectionsHaveNoDelay) {
     struct Guest final : Door::Guest {
