What a daemon takes at the last moment of a drain in haste has its end too

Seen over loopback: the engine was hurried ahead of the listeners, which then took what lay unread. Such a request was sent on, and cut off without an answer 500 ms later. The listeners come first now, as in the platform's sidecar.

tests/integration/haste_test.cpp fails without this and passed 50 times with it.

--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -522,9 +522,9 @@
 
 void Daemon::hurry() {
     if (!draining_) return;
-    engine_.hurry();
     for (auto& [name, e] : entrances_) e->listener->hurry();
     for (auto& e : leaving_) e->listener->hurry();
+    engine_.hurry();  // then: what was taken just now ends with the rest
 }
 
 Door::Tcp::endpoint Daemon::address(const std::string& listener) const {
