What is thrown for one guest as accepting ends does not hold up the drain

Read, then seen with a guest that throws: what one connection's last chance threw (memory is wanting, say) left stop_accepting: those behind it had no last chance, and the drain no end. What was thrown for a connection that was just accepted there left the listening socket open.

Each has its own try now, and who throws is ended by broken(), as everywhere else.

--- a/src/engine/call.hpp
+++ b/src/engine/call.hpp
@@ -39,8 +39,8 @@
     // An answer that counts as a failed attempt: the call may keep it and pass it on if it fails for good.
     virtual void errored(std::unique_ptr<Answer>) noexcept {}
 
-    // Whether an attempt may be made, the first being 0: all of the request is there, from its beginning, and
-    // its route permits one more.
+    // Whether an attempt may be made, the first being 0: all of the request is there, from its beginning, its
+    // route permits one more, and its client has not been seen to go.
     virtual bool may_start(std::uint32_t) const noexcept { return true; }
 
     // Set by the pool that has taken it, until it has ended.
--- a/src/listen/door.cpp
+++ b/src/listen/door.cpp
@@ -193,7 +193,7 @@
             try {
                 if (!failed) {
                     const GuestPtr guest = accepted(std::move(socket));
-                    if (shut()) guest->last_chance();  // it came just as accepting ended
+                    if (shut()) last_chance(guest);  // it came just as accepting ended
                     return accept();
                 }
             } catch (const std::exception& error) {
@@ -297,18 +297,33 @@
     draining_ = true;
     drain_timer_.cancel();
     timer_.cancel();
-    for (error_code failed; !failed;) {
+    for (;;) {
+        error_code failed;
         Tcp::socket socket(io_);
         acceptor_.accept(socket, failed);
-        if (!failed && budget_.enter && !budget_.enter()) continue;  // nobody waits for it any more
-        if (!failed) accepted(std::move(socket));
+        if (failed) break;
+        if (budget_.enter && !budget_.enter()) continue;  // nobody waits for it any more
+        try {
+            accepted(std::move(socket));
+        } catch (const std::exception& error) {
+            log_(std::string("a connection was not taken: ") + error.what());
+        }
     }
     shut_acceptor();
     for (const GuestPtr& guest : all())
-        if (!guest->finishing_) guest->last_chance();
+        if (!guest->finishing_) last_chance(guest);
     end_drain();
 }
 
+// What is thrown for one is not everybody's: the others have their chance, and the drain its end.
+void Door::last_chance(const GuestPtr& guest) {
+    try {
+        guest->last_chance();
+    } catch (const std::exception&) {
+        guest->broken();
+    }
+}
+
 void Door::hurry() {
     if (std::exchange(hurried_, true)) return;
     stop_accepting();
--- a/src/listen/door.hpp
+++ b/src/listen/door.hpp
@@ -139,6 +139,7 @@
     void accept();
     void pause();
     GuestPtr accepted(Tcp::socket socket);
+    void last_chance(const GuestPtr& guest);
     bool make_room();
     bool enter();
     bool close_least();
--- a/tests/integration/shutdown_test.cpp
+++ b/tests/integration/shutdown_test.cpp
@@ -254,39 +254,58 @@
     EXPECT_EQ(entered, 0) << "descriptors that nobody gave back";
 }
 
-// Small writes are not held back, whatever the listener's profile.
-TEST(ShutdownOfADoor, AcceptedConnectionsHaveNoDelay) {
+// A door whose guests say nothing.
+struct PlainDoor : testing::Test {
     struct Guest final : Door::Guest {
-        Guest(Door& door, Places::Id place, Tcp::socket socket, bool& no_delay)
-            : Door::Guest(door, place, std::move(socket)), no_delay_(no_delay) {}
+        Guest(PlainDoor& rig_, Places::Id place, Tcp::socket socket)
+            : Door::Guest(*rig_.door, place, std::move(socket)), rig(rig_) {}
         void welcome() override {
             Tcp::no_delay option;
             socket_.get_option(option);
-            no_delay_ = option.value();
+            rig.no_delay = option.value();
         }
         bool spare() const override { return true; }
         void out_of_time() override {}
-        void last_chance() override { close(); }
+        void last_chance() override {
+            if (++rig.chances == rig.throws_at) throw std::bad_alloc();
+            close();
+        }
         void readable(error_code) override {}
-        void broken() noexcept override {}
+        void broken() noexcept override { close(); }
         void left() override {}
-        bool& no_delay_;
+        PlainDoor& rig;
     };
     asio::io_context io;
-    bool no_delay = false;
-    Door* made = nullptr;
-    Door door(
-        io, any_port, 4,
-        [&](Places::Id place, Tcp::socket socket) {
-            return std::make_shared<Guest>(*made, place, std::move(socket), no_delay);
-        },
-        [] {}, [](const std::string&) {});
-    made = &door;
-    Peer peer(io, door.address());
-    run_until(io, [&] { return door.guests() == 1; });
+    bool no_delay = false, drained = false;
+    int chances = 0, throws_at = 0;
+    std::optional<Door> door;
+    PlainDoor() {
+        door.emplace(
+            io, any_port, 4,
+            [this](Places::Id place, Tcp::socket socket) {
+                return std::make_shared<Guest>(*this, place, std::move(socket));
+            },
+            [this] { drained = true; }, [](const std::string&) {});
+    }
+};
+
+// Small writes are not held back, whatever the listener's profile.
+TEST_F(PlainDoor, AcceptedConnectionsHaveNoDelay) {
+    Peer peer(io, door->address());
+    run_until(io, [&] { return door->guests() == 1; });
     EXPECT_TRUE(no_delay);
 }
 
+// Memory is wanting for one of three as accepting ends.
+TEST_F(PlainDoor, WhatIsThrownForOneGuestDoesNotHoldTheEndUp) {
+    Peer first(io, door->address()), second(io, door->address()), third(io, door->address());
+    run_until(io, [&] { return door->guests() == 3; });
+    throws_at = 2;
+    door->stop_accepting();
+    run_until(io, [&] { return drained; });
+    EXPECT_EQ(chances, 3);
+}
+
 // ---- The program
 // ------------------------------------------------------------------------------------------------
 
