An accept that fails for want of a descriptor lets go who idles

Cause: on EMFILE the door waited 20 ms and tried again, for as long as its clients idled, as its places were not full; the requests of those in the accept queue, which count as taken, were not read. Seen with a limit that is lowered under the running program.

Change: the least worth client whose descriptor is below the limit makes room, and the door accepts again. One above the limit is left alone: closing it gives nothing back.

Test: the program under a limit that leaves it nothing more, 60 idle clients, 24 new ones beyond the gaps.

--- a/src/listen/door.cpp
+++ b/src/listen/door.cpp
@@ -3,6 +3,7 @@
 #include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <sys/ioctl.h>
+#include <sys/resource.h>
 #include <unistd.h>
 
 #include <boost/asio/post.hpp>
@@ -26,6 +27,11 @@
 constexpr int kLastReads = 8;   // of what a client has sent, ahead of its connection's close
 constexpr Millis kHaste = 500;  // of a drain in haste, for answers to be taken
 
+std::size_t allowed_descriptors() {
+    rlimit limit{};
+    return ::getrlimit(RLIMIT_NOFILE, &limit) == 0 ? limit.rlim_cur : Door::kAny;
+}
+
 }  // namespace
 
 // ---- A guest
@@ -196,10 +202,12 @@
                     if (shut()) last_chance(guest);  // it came just as accepting ended
                     return accept();
                 }
+                if (failed == asio::error::no_descriptors && close_least(allowed_descriptors()))
+                    return;  // and accepts again
             } catch (const std::exception& error) {
                 log_(std::string("a connection was not taken: ") + error.what());
             }
-            shut() ? end_drain() : pause();  // out of descriptors, most likely
+            shut() ? end_drain() : pause();
         });
     });
     accepting_ = true;
@@ -246,10 +254,12 @@
 // A descriptor for one more; at a bound that others share, one of ours makes room.
 bool Door::enter() { return !budget_.enter || budget_.enter() || (close_least() && budget_.enter()); }
 
-bool Door::close_least() {
-    const auto spare = [this](Places::Id id) {
+// Of those whose descriptor is below a bound: closing another one gives nothing back under a lowered limit.
+bool Door::close_least(std::size_t below) {
+    const auto spare = [this, below](Places::Id id) {
         const GuestPtr& guest = guests_.at(id);
-        return guest->finishing_ || guest->spare();
+        return static_cast<std::size_t>(guest->socket_.native_handle()) < below &&
+               (guest->finishing_ || guest->spare());
     };
     const auto least = places_.least_worth(steady_now(), spare);
     if (least) GuestPtr(guests_.at(*least))->drop();
--- a/src/listen/door.hpp
+++ b/src/listen/door.hpp
@@ -22,6 +22,7 @@
 public:
     using Tcp = boost::asio::ip::tcp;
     using Clock = std::chrono::steady_clock;
+    static constexpr std::size_t kAny = static_cast<std::size_t>(-1);
 
     // One connection, on the loop's thread.
     class Guest : public std::enable_shared_from_this<Guest> {
@@ -142,7 +143,7 @@
     void last_chance(const GuestPtr& guest);
     bool make_room();
     bool enter();
-    bool close_least();
+    bool close_least(std::size_t below = kAny);
     std::vector<GuestPtr> all() const;
     void sweep();
     void closed(const Guest& guest);
--- a/tests/integration/descriptors_test.cpp
+++ b/tests/integration/descriptors_test.cpp
@@ -46,5 +46,26 @@
                          testing::Values(Bounds{"1024", 64}, Bounds{"1024", 32}, Bounds{"64", 64},
                                          Bounds{"32", 32}, Bounds{"32", 256}, Bounds{"1024", 256}));
 
+// Where the limit is found to be lower than it was at the start, each connection that can't be accepted costs
+// an idle one its place: its request may lie behind it already.
+TEST_F(ChildRig, AFailedAcceptLetsGoWhoIdles) {
+    discovery.listen();
+    start("1024", 1024);
+    const auto ask = [&](TestClient& c) {
+        const std::size_t before = c.answers.size();
+        c.send(request("listen", "id-" + std::to_string(server.requests.size())));
+        return within(1000, [&] { return c.answers.size() > before; });
+    };
+    for (int i = 0; i < 60; ++i) {
+        TestClient& c = client();
+        ASSERT_TRUE(ask(c) && ask(c));
+    }
+    const std::size_t more = close_the_lid() + 24;
+    std::size_t unanswered = 0;
+    for (std::size_t i = 0; i < more && unanswered == 0; ++i) unanswered += !ask(client());
+    EXPECT_EQ(unanswered, 0u);
+    EXPECT_TRUE(alive());
+}
+
 }  // namespace
 }  // namespace whinledge::test
--- a/tests/rig/child_rig.hpp
+++ b/tests/rig/child_rig.hpp
@@ -1,6 +1,7 @@
 // The program as a process of its own between the test's peers, under limits of its own.
 #pragma once
 
+#include <sys/prctl.h>
 #include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -102,6 +103,7 @@
         child = ::fork();
         if (child == 0) {
             ::setenv("LB_CONFIG", config.c_str(), 1);
+            ::prctl(PR_SET_PDEATHSIG, SIGKILL);
             if (!std::freopen(log.c_str(), "w", stderr)) ::_exit(126);
             ::close_range(3, ~0U, 0);
             const rlimit limit{descriptors, descriptors};
@@ -128,6 +130,15 @@
         const std::filesystem::directory_iterator all("/proc/" + std::to_string(child) + "/fd");
         return static_cast<std::size_t>(std::distance(begin(all), end(all)));
     }
+    // No descriptor beyond those that it has now, but for gaps among them; returns how many these are.
+    std::size_t close_the_lid() {
+        rlim_t highest = 0;
+        for (const auto& at : std::filesystem::directory_iterator("/proc/" + std::to_string(child) + "/fd"))
+            highest = std::max<rlim_t>(highest, std::stoul(at.path().filename()));
+        const rlimit limit{highest + 1, highest + 1};
+        EXPECT_EQ(::prlimit(child, RLIMIT_NOFILE, &limit, nullptr), 0);
+        return highest + 1 - descriptors();
+    }
     // The most memory that it has held, in KiB.
     std::size_t peak_memory() const {
         std::ifstream status("/proc/" + std::to_string(child) + "/status");
