Nothing is written to a connection to a server on which something waits to be read

Cause, in http/upstream.cpp: idle connections were looked at before use, others were not. A server that speaks first on a fresh connection had its bytes taken for the request's answer, for unsafe requests too; an end there made it one that may have run. Where the last part of a long body went out in the same turn in which an answer or an end was waiting, the write came first and the answer counted as this request's. A request stopped half written counted as one that may have run, as only the write's own end told what had gone out.

Change: a fresh connection is looked at like an idle one; each further part of a request goes out by itself when the socket is writable, after what waits has been read, so what has gone out is known at each moment. The state of a broken connection under a write, and the doubt about a write under way, are gone. Connection::reusable() is the one place that says whether an idle connection may carry a request (its age included), discard() the one that ends one that carries nothing.

Ruled out, each with a row in the table over safe, unsafe and keyed requests: ends and resets before, within and behind the answer, on fresh and reused connections, proofs cut off, answers without a length, interim answers, resets within a long request, bytes, half a line, ends and resets waiting on idle connections, bytes one at a time, connects that never come up. Nagle's algorithm is off on each connection to a server.

--- a/src/http/upstream.cpp
+++ b/src/http/upstream.cpp
@@ -5,7 +5,6 @@
 #include <algorithm>
 #include <array>
 #include <boost/asio/post.hpp>
-#include <boost/asio/write.hpp>
 #include <cstdio>
 #include <optional>
 #include <utility>
@@ -71,6 +70,10 @@
             error_code ignored;
             self->socket_.set_option(Tcp::no_delay(true), ignored);
             self->socket_.non_blocking(true, ignored);
+            if (!self->quiet()) {  // it has spoken first, or has ended: what is there is no answer
+                if (self->unasked()) self->owner_->stray(*self);
+                return self->fail(Outcome::refused_connection);
+            }
             if (self->exchange_->request.wanted && !self->exchange_->request.wanted())
                 return self->fail(Outcome::superseded);
             self->wait_readable();
@@ -103,10 +106,13 @@
         pool = for_pool;
     }
     bool idled_out(std::chrono::steady_clock::time_point now) const { return now - since_ >= span(idle_); }
-    // Nothing has come since it fell idle, not even its end.
-    bool quiet() { return peek() == asio::error::would_block; }
-    // Something has come that is nobody's.
-    bool unasked() { return !peek(); }
+    // The one place that says whether one that has idled may carry another request.
+    bool reusable(std::chrono::steady_clock::time_point now) { return !idled_out(now) && quiet(); }
+    // Ends one that carries nothing.
+    void discard() {
+        if (unasked()) owner_->stray(*this);
+        close();
+    }
     std::chrono::steady_clock::time_point idle_since() const { return since_; }
 
     // Whether the request may have been written whole.
@@ -154,6 +160,10 @@
     PoolId pool;  // whose it is
 
 private:
+    // Nothing waits to be read, not even its end.
+    bool quiet() { return peek() == asio::error::would_block; }
+    // Something has come that is nobody's.
+    bool unasked() { return !peek(); }
     error_code peek() {
         char byte;
         error_code error;
@@ -170,7 +180,7 @@
     // Whole, or as much of it as its server may begin with.
     bool may_have_run() const {
         const Judge* const judge = exchange_ ? exchange_->request.judge : nullptr;
-        return written_ || (writing_ && last_) || (begun_ && judge && !judge->begins_when_whole());
+        return written_ || (begun_ && judge && !judge->begins_when_whole());
     }
 
     // Mostly a request goes out whole at once.
@@ -186,7 +196,7 @@
         if (exchange.request.chunked) {  // rare: no length was told ahead
             add_chunk(body);
             if (last_) end_chunks(exchange.request.trailers);
-            return write_on(0);
+            return wait_writable(0);
         }
         const std::array<asio::const_buffer, 2> whole{asio::buffer(out_),
                                                       asio::buffer(body.data(), body.size())};
@@ -199,27 +209,41 @@
         }
         if (size < out_.size() + body.size()) {
             out_.append(body.data(), body.size());
-            return write_on(size);
+            return wait_writable(size);
         }
+        sent();
+    }
+    void sent() {
         out_.clear();
         written_ = last_;
         if (!last_) write_rest();
     }
 
-    // What stands in out_, behind its first `size` bytes.
-    void write_on(std::size_t size) {
-        writing_ = begun_ = true;
-        asio::async_write(socket_, asio::buffer(out_) + size,
-                          [self = shared_from_this()](error_code failed, std::size_t) {
-                              self->writing_ = false;
-                              self->out_.clear();
-                              self->written_ = !failed && self->last_;
-                              self->progress_ = std::chrono::steady_clock::now();
-                              if (failed || self->broken_)
-                                  self->lost();
-                              else if (!self->last_)
-                                  self->write_rest();
-                          });
+    // What stands in out_ goes out once the socket takes it, without its first `size` bytes.
+    void wait_writable(std::size_t size) {
+        out_at_ = size;
+        writing_ = true;
+        socket_.async_wait(Tcp::socket::wait_write, [self = shared_from_this()](error_code) {
+            self->writing_ = false;
+            if (self->exchange_) try {
+                    self->write_on();
+                } catch (const std::exception&) {  // out of memory, say
+                    self->stall();
+                }
+        });
+    }
+    // What the server has said by now it has said ahead of the request's end, and its end may be there: that
+    // is read first.
+    void write_on() {
+        if (!paused_) hear();
+        if (!exchange_) return;
+        error_code error;
+        const std::size_t size = socket_.write_some(asio::buffer(out_) + out_at_, error);
+        if (error && error != asio::error::would_block) return lost();
+        begun_ = begun_ || size > 0;
+        progress_ = std::chrono::steady_clock::now();
+        if (out_at_ + size < out_.size()) return wait_writable(out_at_ + size);
+        sent();
     }
 
     // The next part of a body that comes as its client sends it. Without its end it provably never ran.
@@ -241,7 +265,7 @@
             written_ = last_;
             return;
         }
-        write_on(0);
+        wait_writable(0);
     }
 
     // RFC 9112, 7.1.
@@ -264,17 +288,20 @@
         socket_.async_wait(Tcp::socket::wait_read, [self = shared_from_this()](error_code failed) {
             self->waiting_ = false;
             if (!self->owner_) return;
-            if (!failed && self->exchange_) try {
-                    return self->receive();
-                } catch (const std::exception&) {  // out of memory, say
-                    return self->stall();
-                }
-            if (!failed && self->unasked()) self->owner_->stray(*self);
-            self->close();  // its end, or what nobody asked for
+            if (!failed && self->exchange_) return self->hear();
+            self->discard();  // its end, or what nobody asked for
         });
         waiting_ = true;
     }
 
+    void hear() {
+        try {
+            receive();
+        } catch (const std::exception&) {  // out of memory, say
+            stall();
+        }
+    }
+
     void receive() {
         error_code error;
         const std::size_t size = socket_.read_some(asio::buffer(owner_->scratch_), error);
@@ -429,11 +456,7 @@
         if (!out_stream_ && parser_ && parser_->is_header_done() && parser_->get().result_int() > 200 &&
             framing_is_sound(head_so_far()) && outcome_of(head_so_far()) != Outcome::completed)
             return fail(outcome_of(head_so_far()));  // without what came of its body
-        if (!writing_) return lost();
-        // Whether the last byte went out, the write's own end tells; nothing more goes out now.
-        broken_ = true;
-        error_code ignored;
-        socket_.close(ignored);
+        lost();
     }
 
     // Without the trailers that may have come.
@@ -498,7 +521,8 @@
     Upstream* owner_;  // none: closed
     Tcp::socket socket_;
     asio::steady_timer timer_;   // of connecting
-    std::string out_, pending_;  // what is written; read and not parsed
+    std::string out_, pending_;  // what is written, from out_at_ on; read and not parsed
+    std::size_t out_at_ = 0;
     HeadScan scan_;
     using Parser = http::response_parser<PlainBody>;
     std::optional<Parser> parser_;
@@ -510,12 +534,13 @@
     std::chrono::steady_clock::time_point progress_;
     Millis idle_ = 0;  // it may idle for so long
     bool resting_ = false;
-    bool connected_ = false, waiting_ = false, writing_ = false, written_ = false, broken_ = false;
-    bool begun_ = false;   // some of the request was given to the socket
-    bool last_ = false;    // the request's last byte is among what was given to the socket
-    bool reused_ = false;  // it has served before
-    bool heard_ = false;   // something of the answer has come
-    bool paused_ = false;  // whoever takes the answer has enough for now
+    bool connected_ = false, waiting_ = false, writing_ = false;
+    bool begun_ = false;    // some of the request was given to the socket
+    bool written_ = false;  // all of it
+    bool last_ = false;     // its last byte is in out_, or was
+    bool reused_ = false;   // it has served before
+    bool heard_ = false;    // something of the answer has come
+    bool paused_ = false;   // whoever takes the answer has enough for now
 };
 
 Upstream::Upstream(asio::io_context& io, Log& log, Limits limits, ConnectionBudget* budget)
@@ -572,9 +597,8 @@
             continue;
         }
         connection->wake(request.pool);
-        if (connection->quiet()) return connection;
-        if (connection->unasked()) server.strays = true;
-        connection->close();
+        if (connection->reusable(now)) return connection;
+        connection->discard();
     }
     return nullptr;
 }
