--- a/tests/unit/cold_sum_test.cpp
+++ b/tests/unit/cold_sum_test.cpp
@@ -18,6 +18,8 @@
     ServerId starting = 4;                   // how many servers start in a round
 };
 
+void PrintTo(const Scene& scene, std::ostream* out) { *out << scene.name; }
+
 int starts_wanted() {
     const char* const text = std::getenv("COLD_STARTS");
     return text ? std::atoi(text) : 40;
