A missing or contradictory setting ends the program and is named

Need: defaults hid missing keys. Without limits.max-attempts a sidecar made three attempts, without connect-timeout-ms it waited 250 ms, without give-up-ms 60 s, without limits.sockets it took 1,024 descriptors, a keyed class without its group and window had those of a cell and of nothing; any word for membership-mode but on_request meant pushed; two classes, tenants or zones of one name were taken; a list of tenants in the wrong form meant none. All are times or limits of some deployment that isn't this one.

Change: read_site() and read_config() ask for what the settings always say, and for a window and scope where a class is keyed, a time to ask within where lists must be asked for, the worth beyond the share where there are tenants. aim-stretch, confined-to, models-allowed, busy-is-no-proof and what nobody reads may be absent as before. Each refusal names the setting as it is written there, in one line, status 1. The tests' configurations and the bench of the program's CPU state the keys that became required; two checks on the wire that looked for a field's name in the code now look for the setting's.

--- a/bench/platform_cpu.cpp
+++ b/bench/platform_cpu.cpp
@@ -132,11 +132,13 @@
     return R"({"name":"n1","listen":")" + listen + R"(","discovery":")" + discovery +
            R"(","seed":"8c1f30d27a5be964","limits":{"sockets":1024},"known":{"version":1,"full":true,"servers":[)" +
            list +
-           R"(]},"settings":{"azs":["a"],"my-zone":"a","classes":[
-        {"name":"listen","effect":"repeatable","on-time-ms":400.0,"credit":3.0},
-        {"name":"deposit","effect":"once","on-time-ms":300.0,"credit":5.0}],
-        "limits":{"max-attempts":4,"may-cancel":true,"connect-timeout-ms":150.0,"idle-close-ms":15000.0},
-        "rules":{"cold-from":0.16,"warm-within-ms":20000.0},"membership-mode":"pushed","siblings":3}})";
+           R"(]},"settings":{"azs":["a"],"my-zone":"a","models":["k"],"classes":[
+        {"name":"listen","effect":"repeatable","on-time-ms":400.0,"give-up-ms":60000.0,"credit":3.0},
+        {"name":"deposit","effect":"once","on-time-ms":300.0,"give-up-ms":60000.0,"credit":5.0}],
+        "limits":{"max-attempts":4,"may-cancel":true,"may-probe":false,"may-tell":false,"parallel-tries":false,
+                  "connect-timeout-ms":150.0,"idle-close-ms":15000.0},
+        "rules":{"cold-from":0.16,"warm-within-ms":20000.0,"fall-multiple":2.0,"fall-ms":1000.0},"fees":{"cross-zone":0.0},
+        "membership-mode":"pushed","siblings":3,"tenants":[]}})";
 }
 
 // Microseconds of the program's CPU for each request, of all and in user space alone; below zero: something
--- a/src/app/config.cpp
+++ b/src/app/config.cpp
@@ -11,6 +11,9 @@
 
 using Json = nlohmann::json;
 
+// Descriptors: those that a sidecar needs beside its clients and servers, and the least it can serve with.
+constexpr double kFewestSockets = 28, kMostSockets = 1 << 30;
+
 [[noreturn]] void fail(const std::string& key, const std::string& what) {
     throw ConfigError("'" + key + "' " + what);
 }
@@ -101,14 +104,24 @@
     return seed;
 }
 
+std::size_t read_sockets(const Json& limits) {
+    if (!limits.is_object()) fail("limits", "has the wrong type");
+    const auto at = limits.find("sockets");
+    if (at == limits.end() || at->is_null()) fail("limits.sockets", "is missing");
+    const auto sockets = value<double>(*at, "limits.sockets");
+    if (!(sockets >= kFewestSockets)) fail("limits.sockets", "is too few to work with");
+    if (sockets > kMostSockets) fail("limits.sockets", "is too large");
+    return static_cast<std::size_t>(sockets);
+}
+
 void read_settings(Config& config, const Json& json) {
     const JsonFields fields(json);
     try {
         config.site = read_site(fields);
-        config.connect_timeout = fields.number_or("limits.connect-timeout-ms", config.connect_timeout);
-        config.idle_close = fields.number_or("limits.idle-close-ms", config.idle_close);
-        config.may_probe = fields.flag_or("limits.may-probe", false);
-        config.may_tell = fields.flag_or("limits.may-tell", false);
+        config.connect_timeout = fields.span("limits.connect-timeout-ms");
+        config.idle_close = fields.time("limits.idle-close-ms");
+        config.may_probe = fields.flag("limits.may-probe");
+        config.may_tell = fields.flag("limits.may-tell");
     } catch (const FieldError& error) {
         throw ConfigError(error.what());
     }
@@ -123,8 +136,7 @@
     config.listen = get_endpoint<Tcp>(json, "listen");
     config.discovery = get_endpoint<Tcp>(json, "discovery");
     config.seed = read_seed(get<std::string>(json, "seed"));
-    if (const Json limits = get_or<Json>(json, "limits", Json::object()); limits.is_object())
-        config.sockets = get_or<std::size_t>(limits, "sockets", config.sockets);
+    config.sockets = read_sockets(member(json, "limits"));
     if (json.contains("peer_listen")) config.peer_listen = get_endpoint<Udp>(json, "peer_listen");
     if (json.contains("peers_all")) config.peers_all = get_endpoint<Udp>(json, "peers_all");
     for (const std::string& peer : get_or<std::vector<std::string>>(json, "peers", {}))
--- a/src/app/config.hpp
+++ b/src/app/config.hpp
@@ -23,15 +23,15 @@
     Tcp::endpoint listen;
     Tcp::endpoint discovery;
     std::uint64_t seed = 0;
-    std::size_t sockets = 1024;
+    std::size_t sockets = 0;
     std::optional<Udp::endpoint> peer_listen;
     std::vector<Udp::endpoint> peers;
     std::optional<Udp::endpoint> peers_all;
     MemberList known;
     Site site;
     // Of the settings, what the sockets need and the module does not.
-    Millis connect_timeout = 250;
-    Millis idle_close = 15000;
+    Millis connect_timeout = 0;
+    Millis idle_close = 0;
     bool may_probe = false;
     bool may_tell = false;
 };
--- a/src/site/site.hpp
+++ b/src/site/site.hpp
@@ -42,6 +42,11 @@
     double number_or(std::string_view field, double fallback) const;
     std::uint64_t integer(std::string_view field) const;
     std::uint64_t integer_or(std::string_view field, std::uint64_t fallback) const;
+    double within(std::string_view field, double least, double most) const;
+    Millis time(std::string_view field) const;          // 0 or more
+    Millis span(std::string_view field) const;          // more than 0
+    std::uint32_t count(std::string_view field) const;  // 1 or more
+    bool flag(std::string_view field) const;
     bool flag_or(std::string_view field, bool fallback) const;
 
     template <class T>
@@ -71,6 +76,7 @@
     std::uint32_t class_index(std::string_view name) const;
     std::uint32_t tenant_index(std::string_view name) const;
 };
+// Whatever the settings always say has to be there, and has to make sense; else FieldError names the field.
 Site read_site(const Fields& settings);
 
 }  // namespace kestrelhall
--- a/tests/integration/cold_processes_test.cpp
+++ b/tests/integration/cold_processes_test.cpp
@@ -116,8 +116,7 @@
         };
         put("\"siblings\":3",
             "\"siblings\":" + std::to_string(kProcesses) + ",\"my-number\":" + std::to_string(i));
-        put("\"warm-within-ms\":20000.0",
-            "\"warm-within-ms\":20000.0,\"fall-multiple\":2.5,\"fall-ms\":1000.0");
+        put("\"fall-multiple\":2.0", "\"fall-multiple\":2.5");
         put("8c1f30d27a5be964", "8c1f30d27a5be" + std::to_string(100 + i));
         const std::string file = (folder / ("config-" + std::to_string(i))).string(), log = file + ".log";
         std::ofstream(file) << config;
--- a/tests/rig/net_rig.hpp
+++ b/tests/rig/net_rig.hpp
@@ -213,12 +213,16 @@
            R"(","seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":192,"sockets":)" + sockets +
            R"(},"future":[1],"known":)" + known +
            R"(,"settings":{"azs":["hall-a","hall-b"],"my-zone":"hall-a",
-        "classes":[{"name":"listen","effect":"repeatable","on-time-ms":400.0,"credit":3.0},
-                   {"name":"deposit","effect":"once","on-time-ms":300.0,"credit":5.0},
-                   {"name":"annotate","effect":"by_key","dedup-scope":"all","dedup-window-ms":3000.0,"on-time-ms":500.0}],
+        "models":["standard-4"],
+        "classes":[{"name":"listen","effect":"repeatable","on-time-ms":400.0,"give-up-ms":60000.0,"credit":3.0},
+                   {"name":"deposit","effect":"once","on-time-ms":300.0,"give-up-ms":60000.0,"credit":5.0},
+                   {"name":"annotate","effect":"by_key","dedup-scope":"all","dedup-window-ms":3000.0,
+                    "on-time-ms":500.0,"give-up-ms":60000.0,"credit":1.0}],
+        "fees":{"cross-zone":0.0},
         "limits":{"max-attempts":4,"may-cancel":true,"may-probe":true,"may-tell":true,"connect-timeout-ms":150.0,
                   "idle-close-ms":15000.0,"parallel-tries":false},
-        "rules":{"cold-from":0.16,"warm-within-ms":20000.0},"membership-mode":"pushed","siblings":3,"tenants":[]}})";
+        "rules":{"cold-from":0.16,"warm-within-ms":20000.0,"fall-multiple":2.0,"fall-ms":1000.0},
+        "membership-mode":"pushed","siblings":3,"tenants":[]}})";
 }
 
 // A sidecar between a client, two servers and an agent that holds its watches.
--- a/tests/unit/wire_test.cpp
+++ b/tests/unit/wire_test.cpp
@@ -9,13 +9,25 @@
 namespace {
 
 const std::string start_line =
-    "START who=sidecar-3 entropy=5192284302740068 azs=hall-a,hall-b classes.count=2 "
+    "START who=sidecar-3 entropy=5192284302740068 azs=hall-a,hall-b models=standard-4 classes.count=2 "
     "classes.0.credit=3.0 classes.0.dedup-scope=all classes.0.dedup-window-ms=5000.0 "
     "classes.0.effect=repeatable classes.0.give-up-ms=1500.0 classes.0.late-value=0.0 classes.0.name=listen "
-    "classes.0.on-time-ms=400.0 classes.1.effect=once classes.1.name=deposit classes.1.on-time-ms=300.0 "
+    "classes.0.on-time-ms=400.0 classes.1.credit=5.0 classes.1.effect=once classes.1.give-up-ms=1200.0 "
+    "classes.1.name=deposit classes.1.on-time-ms=300.0 "
     "fees.cross-zone=0.02 granularity-ms=5.0 limits.max-attempts=4 limits.may-cancel=true "
     "limits.parallel-tries=false membership-mode=pushed my-zone=hall-b rules.cold-from=0.16 "
-    "rules.grace-to-answer-ms=20.0 rules.warm-within-ms=20000.0 some.future-setting=7\n";
+    "rules.fall-ms=1000 rules.fall-multiple=2.5 rules.grace-to-answer-ms=20.0 rules.warm-within-ms=20000.0 siblings=3 tenants= "
+    "some.future-setting=7\n";
+// What every deployment's settings say, but for its classes and tenants; and of a class, but for its effect.
+const std::string common =
+    "azs=n,s models=fast,slow my-zone=n fees.cross-zone=0 limits.max-attempts=4 limits.may-cancel=true "
+    "limits.parallel-tries=false membership-mode=pushed rules.cold-from=0.5 rules.fall-multiple=2 rules.fall-ms=1000 "
+    "siblings=1 ";
+std::string a_class(int number, const std::string& name, const std::string& aim = "9") {
+    const std::string prefix = "classes." + std::to_string(number) + ".";
+    return prefix + "name=" + name + " " + prefix + "on-time-ms=" + aim + " " + prefix + "give-up-ms=90 " +
+           prefix + "credit=1 ";
+}
 const std::string catalog =
     "CATALOG ref=0 items=2\n"
     "M server=server_a rack-zone=hall-a kind=standard-4 pod=0 phase=on units=1\n"
@@ -130,16 +142,18 @@
     bad.replace(bad.find("rules.cold-from=0.16"), 20, "rules.cold-from=1.60");
     const Played r = run(mark(1) + bad + over);
     EXPECT_NE(r.out.find("FAULT who=sidecar-3 words="), std::string::npos) << r.out;
-    EXPECT_NE(r.out.find("cold_from"), std::string::npos) << r.out;
+    EXPECT_NE(r.out.find("'rules.cold-from'"), std::string::npos) << r.out;
 }
 
 TEST(Host, UnknownWordsAndEmptyConfinementBecomeAFaultThatNamesTheSetting) {
     const std::string start =
-        "START who=a entropy=1 classes.count=1 classes.0.name=x classes.0.on-time-ms=9 ";
-    for (const auto& [rest, name] : {std::pair{"classes.0.effect=twice", "classes.0.effect"},
-                                     {"classes.0.effect=by_key classes.0.dedup-scope=hall", "dedup-scope"},
-                                     {"classes.0.effect=once classes.0.confined-to=", "zones"},
-                                     {"classes.0.effect=once rules.warm-within-ms=-1", "warm_within"}}) {
+        "START who=a entropy=1 " + common + "tenants= classes.count=1 " + a_class(0, "x");
+    for (const auto& [rest, name] :
+         {std::pair{"rules.warm-within-ms=9 classes.0.effect=twice", "'classes.0.effect'"},
+          {"rules.warm-within-ms=9 classes.0.effect=by_key classes.0.dedup-scope=hall",
+           "'classes.0.dedup-scope'"},
+          {"rules.warm-within-ms=9 classes.0.effect=once classes.0.confined-to=", "'classes.0.confined-to'"},
+          {"classes.0.effect=once rules.warm-within-ms=-1", "'rules.warm-within-ms'"}}) {
         const Played r = run(mark(1) + start + rest + "\n" + over);
         EXPECT_NE(r.out.find("FAULT who=a words="), std::string::npos) << r.out;
         EXPECT_NE(r.out.find(name), std::string::npos) << r.out;
@@ -160,9 +174,9 @@
 
 TEST(Codec, PlacementAndFullAsNoProofArrive) {
     const std::string line =
-        "START who=a entropy=1 azs=n,s models=fast,slow classes.count=2 classes.0.name=x "
-        "classes.0.effect=once classes.0.on-time-ms=9 classes.0.confined-to=s,n classes.1.name=y "
-        "classes.1.effect=once classes.1.on-time-ms=9 classes.1.models-allowed=slow "
+        "START who=a entropy=1 " + common + "classes.count=2 " + a_class(0, "x") + a_class(1, "y") +
+        "classes.0.effect=once classes.0.confined-to=s,n classes.1.effect=once "
+        "classes.1.models-allowed=slow rules.warm-within-ms=9 "
         "rules.busy-is-no-proof=true rules.ask-within-ms=7 tenants.count=1 tenants.0.name=t "
         "tenants.0.share=0.4 over-share-worth=0.3";
     Site site = read_site(Message(line, 1));
@@ -177,15 +191,25 @@
     EXPECT_EQ(s.over_share_worth, 0.3);
 }
 
+TEST(Codec, AListThatMustBeAskedForNamesItsTime) {
+    std::string line = start_line.substr(0, start_line.size() - 1);
+    line.replace(line.find("mode=pushed"), 11, "mode=on_request");
+    EXPECT_THROW(read_site(Message(line, 1)), FieldError);
+    line += " rules.ask-within-ms=7";
+    const Site site = read_site(Message(line, 1));
+    EXPECT_TRUE(site.settings.list_on_request);
+    EXPECT_EQ(site.settings.ask_within, 7);
+}
+
 TEST(Host, AConfinedClassGoesToItsZoneAndKindOnly) {
     const auto place = [](const std::string& server) {
-        std::istringstream in(
-            "MARK now-ms=1 frame=1\nSTART who=a entropy=1 azs=n,s classes.count=1 classes.0.name=x "
-            "classes.0.effect=once classes.0.on-time-ms=99 classes.0.confined-to=s "
-            "classes.0.models-allowed=slow\nCATALOG ref=0 items=1\nM server=b " +
-            server +
-            " phase=on\nPEERS_KNOWN who=a ref=0 index=1 mode=FULL\n"
-            "ACCEPT who=a rid=r grade=x time-left-ms=90\nOVER_TO_YOU\n");
+        std::istringstream in("MARK now-ms=1 frame=1\nSTART who=a entropy=1 " + common +
+                              "tenants= rules.warm-within-ms=9 classes.count=1 " + a_class(0, "x", "99") +
+                              "classes.0.effect=once classes.0.confined-to=s "
+                              "classes.0.models-allowed=slow\nCATALOG ref=0 items=1\nM server=b " +
+                              server +
+                              " phase=on\nPEERS_KNOWN who=a ref=0 index=1 mode=FULL\n"
+                              "ACCEPT who=a rid=r grade=x time-left-ms=90\nOVER_TO_YOU\n");
         std::ostringstream out, err;
         EXPECT_EQ(Host(in, out, err).run(), 0) << err.str();
         return out.str().find("DISPATCH") != std::string::npos;
