A test for a new configuration that is wrong in a setting and names another discovery

Need: a missing setting is refused at SIGHUP too. The test shows with the whole program that then nothing changes: the log names the setting, the watch at the old discovery stays, the new one is not called, requests are served.

--- a/tests/integration/settings_test.cpp
+++ b/tests/integration/settings_test.cpp
@@ -197,27 +197,38 @@
     }
 }
 
-// The program as a user starts it: its status, and what it wrote.
-std::pair<int, std::string> run_program(const Json& config) {
-    const std::filesystem::path folder =
-        std::filesystem::temp_directory_path() / ("whinledge-settings-" + std::to_string(::getpid()));
-    std::filesystem::create_directories(folder);
-    std::ofstream(folder / "config.json") << config.dump();
-    const pid_t child = ::fork();
-    if (child == 0) {
-        ::setenv("LB_CONFIG", (folder / "config.json").c_str(), 1);
+// The program as a user starts it, with its configuration and its log in a folder of its own.
+class Started {
+public:
+    explicit Started(const Json& config) {
+        std::filesystem::create_directories(folder_);
+        write(config);
+        child_ = ::fork();
+        if (child_ != 0) return;
+        ::setenv("LB_CONFIG", (folder_ / "config.json").c_str(), 1);
         ::alarm(20);  // one that is taken after all
-        if (!std::freopen((folder / "log").c_str(), "w", stderr)) ::_exit(126);
+        if (!std::freopen((folder_ / "log").c_str(), "w", stderr)) ::_exit(126);
         ::execl(WHINLEDGE, WHINLEDGE, static_cast<char*>(nullptr));
         ::_exit(127);
     }
-    int status = 0;
-    ::waitpid(child, &status, 0);
-    std::ifstream file(folder / "log");
-    const std::string log(std::istreambuf_iterator<char>(file), {});
-    std::filesystem::remove_all(folder);
-    return {WIFEXITED(status) ? WEXITSTATUS(status) : -1, log};
-}
+    ~Started() { std::filesystem::remove_all(folder_); }
+    void write(const Json& config) const { std::ofstream(folder_ / "config.json") << config.dump(); }
+    void signal(int which) const { ::kill(child_, which); }
+    int status() const {
+        int status = 0;
+        ::waitpid(child_, &status, 0);
+        return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+    }
+    std::string log() const {
+        std::ifstream file(folder_ / "log");
+        return std::string(std::istreambuf_iterator<char>(file), {});
+    }
+
+private:
+    std::filesystem::path folder_ =
+        std::filesystem::temp_directory_path() / ("whinledge-settings-" + std::to_string(::getpid()));
+    pid_t child_ = 0;
+};
 
 TEST(Settings, TheProgramEndsWithOneLineThatNamesTheSetting) {
     for (const auto& [config, name] :
@@ -225,8 +236,9 @@
           {without(archive(), "/settings/classes/2/dedup-window-ms"), "'classes.2.dedup-window-ms'"},
           {with(archive(), "/settings/membership-mode", "sometimes"), "'membership-mode'"},
           {with(archive(), "/limits/sockets", 3), "'limits.sockets'"}}) {
-        const auto [status, log] = run_program(config);
-        EXPECT_EQ(status, 1) << log;
+        const Started program(config);
+        EXPECT_EQ(program.status(), 1);
+        const std::string log = program.log();
         EXPECT_NE(log.find(name), std::string::npos) << log;
         EXPECT_EQ(std::count(log.begin(), log.end(), '\n'), 1) << log;
     }
@@ -315,6 +327,35 @@
                                     kEffectWords[static_cast<int>(std::get<1>(of.param))];
                          });
 
+// A new configuration that is wrong in a setting costs a line that names it, also where it names another
+// discovery: all stays as it was.
+TEST_F(SettingsNet, ANewConfigurationThatIsWrongChangesNothing) {
+    ScriptedServer moved(io, silence);
+    Tcp::acceptor free(io, any_port);
+    const Tcp::endpoint listen = free.local_endpoint();
+    free.close();
+    const auto config = [&](const ScriptedServer& discovery) {
+        return Json::parse(config_json(discovery.address(), list_json(41, true, both()), "1024",
+                                       "127.0.0.1:" + std::to_string(listen.port())));
+    };
+    const Started program(config(agent));
+    until([&] { return watched_from("41"); });
+    program.write(without(config(moved), "/settings/limits/max-attempts"));
+    program.signal(SIGHUP);
+    until([&] { return program.log().find('\n') != std::string::npos; });
+    EXPECT_NE(program.log().find("the old configuration stays"), std::string::npos) << program.log();
+    EXPECT_NE(program.log().find("'limits.max-attempts'"), std::string::npos) << program.log();
+    TestClient& client = clients.emplace_back(io, listen);
+    client.send(ask_for("listen", Effect::repeatable, "id-1"));
+    until([&] { return !client.answers.empty() || client.ended; });
+    ASSERT_EQ(client.answers.size(), 1u);
+    EXPECT_EQ(client.answers[0].result_int(), 200u);
+    EXPECT_EQ(agent.ended(), 0u);
+    EXPECT_TRUE(moved.connections.empty());
+    program.signal(SIGTERM);
+    EXPECT_EQ(program.status(), 0);
+}
+
 // Two of one process, with other classes, effects, attempts, deadlines and tenants under the same names.
 struct TwoSidecars : SettingsNet {
     ScriptedServer c{io, serve}, d{io, serve}, other_agent{io, silence};
