--- a/src/site/site.cpp
+++ b/src/site/site.cpp
@@ -64,7 +64,8 @@
 void read_places(const Fields& start, Site& site) {
     site.zones = names_in(start, "azs");
     site.kinds = names_in(start, "models");
-    if (site.zones.empty() && (!start.has("my-zone") || start.text("my-zone").empty())) return;  // there are none
+    if (site.zones.empty() && (!start.has("my-zone") || start.text("my-zone").empty()))
+        return;  // there are none
     const ZoneId mine = place_of(site.zones, start.text("my-zone"));
     if (mine == site.zones.size()) start.fail("my-zone", "is none of 'azs'");
     site.settings.my_zone = mine;
