A client whose request's end lies unread is not closed to make room

Cause: with the places full, a client of the platform's profile that had sent part of a request 25 ms ago could be closed for room though the rest had come and was not read yet. A request counts as taken once its last byte is written; closing over it loses it. Bodies over 16 KiB need several turns of the loop, so it took no more than one new client between two reads.

Change: whoever has unread bytes is passed over, whether it idles or is being read (Client::spare).

--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -194,8 +194,9 @@
         wait_readable();
         door_->rested();
     }
+    // What lies unread may be the end of a request, which counts as taken; what idles may hold a whole one.
     bool spare() const override {
-        return phase_ != Phase::idle || (pending_.empty() && unread() != error_code());
+        return (phase_ != Phase::idle || pending_.empty()) && unread() != error_code();
     }
     void out_of_time() override {
         if (phase_ == Phase::reading) return reject(http::status::request_timeout);
