A silent watch, lost connects and swallowed calls are over well within 6 s

Cause: a watch held for 5,000 ms with a patience of 1,500 ms, so a silent one was found after 6.5 s; connecting had no limit of its own; a call swallowed by a discovery that was down kept its 6.5 s after the return; where lists are asked for, the module waited 0.5 to 12 s after a failure, and was not told that calls go through again without news. Ruled out: bytes behind an answer, answers from the old address after a move, pauses at a move, want of descriptors.

Change: hold and patience are 1000 and 250 ms (pushed), 2000 and 800 (asked); connects get 250 ms; an answer that has begun gets 300 ms more; the first call and one behind a failure hold for nothing; waits are 150 ms (pushed, from the call's begin) and 800 ms (asked) at most.

--- a/src/discovery/pace.hpp
+++ b/src/discovery/pace.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <algorithm>
+#include <utility>
 
 #include "engine/types.hpp"
 
@@ -16,11 +17,24 @@
     static constexpr Millis kLeast = 5;   // what came without news; long enough for a second answer to show
     static constexpr Millis kEach = 50;
     static constexpr int kBurst = 30;
+    static constexpr Millis kFirstBackoff = 25, kLongestBackoff = kMost;
 
     void began(Millis now) { began_ = now; }
 
     // How long to wait before the next call.
     Millis answered(Millis now, bool news) {
+        backoff_ = kFirstBackoff;
+        return paced(now, news);
+    }
+    // The same after a call without an answer to be used. The backoff runs from when it began: a call that
+    // was given up has waited by then.
+    Millis failed(Millis now) {
+        const Millis backoff = std::exchange(backoff_, std::min(2 * backoff_, kLongestBackoff));
+        return std::max(paced(now, false), began_ + backoff - now);
+    }
+
+private:
+    Millis paced(Millis now, bool news) {
         const Millis burst = kBurst * kEach;
         debt_ = std::min(std::max(0.0, debt_ - (now - answered_)) + kEach, burst + kMost);
         answered_ = now;
@@ -29,10 +43,10 @@
         return std::max(debt_ - burst, idle_);
     }
 
-private:
     Millis began_ = 0, answered_ = 0;
     Millis debt_ = 0;  // of calls that came sooner than each kEach
     Millis idle_ = 0;  // the last pause for want of news
+    Millis backoff_ = kFirstBackoff;
 };
 
 }  // namespace whinledge
--- a/src/discovery/platform.cpp
+++ b/src/discovery/platform.cpp
@@ -19,10 +19,6 @@
 
 namespace {
 
-// A watch holds for less than it may, so that one that was lost unseen is soon replaced.
-constexpr Millis kHold = 5000;
-constexpr Millis kPatience = 1500;  // beyond the hold, or for a call that holds for nothing
-constexpr Millis kFirstBackoff = 25, kLongestBackoff = 400;
 constexpr std::size_t kListLimit = 2 * 1024 * 1024;
 // A server and its successor may be listed at one address at once.
 const MemberRules kRules{.distinct_addresses = false};
@@ -34,25 +30,22 @@
 // One connection to discovery, and the one call that is out on it.
 class Discovery::Call : public std::enable_shared_from_this<Call> {
 public:
-    Call(asio::io_context& io, const Tcp::endpoint& address)
-        : address_(address), socket_(io), timer_(io), buffer_(kUnparsedLimit) {}
+    Call(asio::io_context& io, const Tcp::endpoint& address, const Limits& limits)
+        : address_(address), limits_(limits), socket_(io), timer_(io), buffer_(kUnparsedLimit) {}
 
     using Done = std::function<void(bool answered, const std::string& body)>;
-    void get(const std::string& target, Millis patience, Done done) {
+    // The answer is due `hold` later.
+    void get(const std::string& target, Millis hold, Done done) {
         done_ = std::move(done);
+        hold_ = hold;
+        parser_.reset();
         request_ = {http::verb::get, target, 11};
         request_.set(http::field::host,
                      address_.address().to_string() + ":" + std::to_string(address_.port()));
-        timer_.expires_after(span(patience));
-        timer_.async_wait([weak = weak_from_this()](error_code cancelled) {
-            const auto self = weak.lock();
-            if (!self || cancelled) return;
-            // One that was under way when its call was answered is not the next call's.
-            if (self->timer_.expiry() <= asio::steady_timer::clock_type::now()) self->end(false);
-        });
         if (socket_.is_open()) return write();
+        give(limits_.connect, false);
         socket_.async_connect(address_, [self = shared_from_this()](error_code failed) {
-            if (failed) return self->end(false);
+            if (failed || !self->out()) return self->end(false);
             error_code ignored;
             self->socket_.set_option(Tcp::no_delay(true), ignored);
             self->socket_.non_blocking(true, ignored);
@@ -77,7 +70,25 @@
     }
 
 private:
+    // The time for what comes next. `more`: what has begun by then is given some more.
+    void give(Millis time, bool more) {
+        timer_.expires_after(span(time));
+        timer_.async_wait([weak = weak_from_this(), more](error_code cancelled) {
+            const auto self = weak.lock();
+            if (!self || cancelled) return;
+            // One that was under way when its time was over otherwise is not for what came next.
+            if (self->timer_.expiry() > asio::steady_timer::clock_type::now()) return;
+            if (more && self->has_begun()) return self->give(self->limits_.rest, false);
+            self->end(false);
+        });
+    }
+    // Something of the answer has come, read or not: we may be the ones who were slow.
+    bool has_begun() const {
+        error_code ignored;
+        return parser_ && (parser_->got_some() || buffer_.size() > 0 || socket_.available(ignored) > 0);
+    }
     void write() {
+        give(hold_ + limits_.patience, true);
         http::async_write(socket_, request_, [self = shared_from_this()](error_code failed, std::size_t) {
             if (failed) return self->end(false);
             self->read();
@@ -104,6 +115,8 @@
     }
 
     Tcp::endpoint address_;
+    const Limits& limits_;
+    Millis hold_ = 0;
     Tcp::socket socket_;
     asio::steady_timer timer_;
     http::request<http::empty_body> request_;
@@ -119,9 +132,9 @@
       address_(address),
       version_(version),
       persistent_(persistent),
+      limits_(persistent ? kPushed : kAsked),
       callbacks_(std::move(callbacks)),
-      timer_(io),
-      backoff_(kFirstBackoff) {}
+      timer_(io) {}
 
 Discovery::~Discovery() {
     end_watch();
@@ -139,12 +152,15 @@
 void Discovery::begin() {
     pause_ = nullptr;
     look();
-    if (!watch_) watch_ = std::make_shared<Call>(io_, address_);
+    if (!watch_) watch_ = std::make_shared<Call>(io_, address_, limits_);
     const Asked asked{version_, !compares_};
+    // Silence is no sign of a fault while a call holds. So where nobody has answered yet, or not lately, the
+    // call holds for nothing: one that is lost, as with an agent that is down, is soon replaced.
+    const Millis hold = heard_ && !asked.whole ? limits_.hold : 0;
     const std::string from =
-        "?from=" + std::to_string(version_) + "&hold_ms=" + std::to_string(static_cast<int>(kHold));
+        "?from=" + std::to_string(version_) + "&hold_ms=" + std::to_string(static_cast<int>(hold));
     pace_.began(clock_.now());
-    watch_->get("/catalog/members" + (asked.whole ? "" : from), (asked.whole ? 0 : kHold) + kPatience,
+    watch_->get("/catalog/members" + (asked.whole ? "" : from), hold,
                 [this, asked](bool answered, const std::string& body) { watched(asked, answered, body); });
 }
 
@@ -162,7 +178,7 @@
     if (address == address_) return;
     address_ = address;
     compares_ = false;
-    backoff_ = kFirstBackoff;
+    heard_ = false;
     if (active_) watch(true);
     if (fetch_ && fetch_->out()) {
         fetch_->close();
@@ -172,8 +188,8 @@
 
 void Discovery::fetch() {
     if (fetch_ && fetch_->out()) return;
-    fetch_ = std::make_shared<Call>(io_, address_);
-    fetch_->get("/catalog/members", kPatience,
+    fetch_ = std::make_shared<Call>(io_, address_, limits_);
+    fetch_->get("/catalog/members", 0,
                 [this, asked = Asked{version_, true}](bool answered, const std::string& body) {
                     fetched(asked, answered, body);
                 });
@@ -192,16 +208,13 @@
     const bool believed = list && take(asked, *list);
     if (!list) end_watch();
     look();
-    Millis wait = pace_.answered(clock_.now(), believed && compares_ && version_ != before);
-    if (!list && !persistent_) return callbacks_.failed();
-    if (list) {
-        backoff_ = kFirstBackoff;
-        if (compares_) told_ = false;
-    } else {
-        wait = std::max(wait, std::exchange(backoff_, std::min(2 * backoff_, kLongestBackoff)));
-    }
-    renew(wait);  // before anything else: the next watch is due
-    if (believed && (list->full || !list->members.empty())) callbacks_.changed(*list);
+    const bool back = !std::exchange(heard_, list.has_value()) && !persistent_;
+    if (!heard_ && !persistent_) return callbacks_.failed();
+    if (heard_ && compares_) told_ = false;
+    const Millis now = clock_.now();
+    // Before anything else: the next watch is due.
+    renew(heard_ ? pace_.answered(now, believed && compares_ && version_ != before) : pace_.failed(now));
+    if (believed && (back || list->full || !list->members.empty())) callbacks_.changed(*list);
 }
 
 // What an answer says, if it can be read and is what was asked for.
--- a/src/discovery/platform.hpp
+++ b/src/discovery/platform.hpp
@@ -20,11 +20,22 @@
 class Discovery {
 public:
     struct Callbacks {
-        std::function<void(MemberList)> changed;
+        std::function<void(MemberList)> changed;  // with no change in it where `failed` is over
         std::function<void()> failed;  // only where the watch does not go on by itself
     };
 
-    // `persistent`: a watch that fails is begun again by itself; else whoever wants it asks for it anew.
+    // docs/design/discovery.md sums up from these how late a change is known at the worst.
+    struct Limits {
+        Millis hold;      // asked for by a watch
+        Millis patience;  // with a call that says nothing, beyond that
+        Millis rest;      // for an answer that has begun when the patience is over
+        Millis connect;
+    };
+    // An agent beside us answers at once and costs nothing; one service for all is asked more rarely.
+    static constexpr Limits kPushed{1000, 250, 300, 250}, kAsked{2000, 800, 300, 250};
+
+    // `persistent`: a watch that fails is begun again by itself, as is right with an agent (kPushed); else
+    // whoever wants it asks for it anew (kAsked).
     Discovery(boost::asio::io_context& io, Log& log, const Tcp::endpoint& address, std::uint64_t version,
               bool persistent, Callbacks callbacks);
     ~Discovery();
@@ -56,14 +67,15 @@
     Tcp::endpoint address_;
     std::uint64_t version_;
     bool persistent_;
+    const Limits& limits_;
     Callbacks callbacks_;
     Clock clock_;
     CallPace pace_;
     boost::asio::steady_timer timer_;  // of the next call
     std::shared_ptr<void> pause_;      // while it runs; gone, it is void even if its handler is under way
     std::shared_ptr<Call> watch_, fetch_;
-    Millis backoff_;
     bool active_ = false, told_ = false;
+    bool heard_ = false;    // the last call was answered: the next one may hold
     bool compares_ = true;  // version_ is one that a watch may ask from
 };
 
--- a/src/policy/balance.cpp
+++ b/src/policy/balance.cpp
@@ -77,7 +77,9 @@
 constexpr Millis kRest = 60000, kNarrow = 200;
 constexpr long kSlack = 2;
 constexpr Millis kEver = std::numeric_limits<Millis>::infinity();
-constexpr Millis kResubscribe = 1000;  // first wait after a failed call for the list; doubles up to 8 of it
+// After a failed call for the list: the first wait at the longest, which doubles. What was missed counts as
+// told 6 s later whatever we do, so a few of them together have to stay well below that.
+constexpr Millis kResubscribe = 25, kLongestResubscribe = 800;
 
 }  // namespace
 
@@ -292,10 +294,11 @@
             // The list is one service for all: come back later and not in step with the others, but in time:
             // who has not asked for ask_within counts as told of every drain (rule 3).
             if (renewing) return;  // several failures are one reason to ask again
-            const Millis most = settings.ask_within > 0 ? settings.ask_within : kResubscribe * 8;
-            set_timer(now + std::min(resubscribe * (0.5 + random.unit()), most), std::nullopt);
+            const Millis wait = resubscribe * (0.5 + 0.5 * random.unit());
+            set_timer(now + (settings.ask_within > 0 ? std::min(wait, settings.ask_within) : wait),
+                      std::nullopt);
             renewing = true;
-            resubscribe = std::min(resubscribe * 2, kResubscribe * 8);
+            resubscribe = std::min(resubscribe * 2, kLongestResubscribe);
             return;
         }
         if (list.kind != ListKind::saved) resubscribe = kResubscribe;
