Tests of watches and of cold starts state what settings now require, and answer first calls

Seen: with settings strict, tests that ask for lists failed, as their configuration named no rules.ask-within-ms; the test of thirty processes waited in vain once beside others: its agent held the first call of a watch, which asks for no hold now, and was given up each 250 ms, and its ports were anybody's until its processes listened. Ruled out: the program; all passed alone. Change: the key stands in the rig's configuration; the agent tells at once who asks without a hold, and ports are on an address of the test's own.

--- a/tests/integration/cold_processes_test.cpp
+++ b/tests/integration/cold_processes_test.cpp
@@ -73,7 +73,14 @@
         std::filesystem::temp_directory_path() / ("whinledge-cold-" + std::to_string(::getpid()));
     std::list<ScriptedServer> warm;
     std::list<ColdServer> cold;
-    ScriptedServer agent{io, [](const auto&) { return Reply{}; }};
+    // Holds its watches, and tells at once who has yet to hear, or asks for what is known without a wait.
+    ScriptedServer agent{io, [this](const ScriptedServer::Request& call) {
+                             const auto asks = [&](const char* what) {
+                                 return call.target().find(what) != boost::beast::string_view::npos;
+                             };
+                             if (told && asks("from=41&")) return Reply{response("200 OK", list())};
+                             return asks("hold_ms=0") ? Reply{response("200 OK", unchanged())} : Reply{};
+                         }};
     std::vector<Process> processes;
     std::mt19937_64 random{28};
     std::size_t next_id = 0, asked = 0;
@@ -90,6 +97,7 @@
         ::waitpid(std::exchange(p.pid, 0), nullptr, 0);
         p.connections.clear();
     }
+    std::string unchanged() const { return list_json(told ? 42 : 41, false, {}); }
     std::string list() const {
         std::string text = "{\"version\":" + std::to_string(told ? 42 : 41) + ",\"full\":true,\"servers\":[";
         std::size_t n = 0;
@@ -108,7 +116,8 @@
     void start(std::size_t i) {
         Process& p = processes[i];
         std::string config =
-            config_json(agent.address(), list(), "256", "127.0.0.1:" + std::to_string(p.listen.port()));
+            config_json(agent.address(), list(), "256",
+                        p.listen.address().to_string() + ":" + std::to_string(p.listen.port()));
         const auto put = [&](const std::string& what, const std::string& by) {
             const auto at = config.find(what);
             ASSERT_NE(at, std::string::npos) << what;
@@ -175,8 +184,13 @@
     for (std::size_t i = 0; i < kWarm; ++i) warm.emplace_back(io, serve);
     for (std::size_t i = 0; i < kCold; ++i) cold.emplace_back(io);
     processes.resize(kProcesses);
+    // Ports all at once, on a loopback address of this test's own: nobody else takes one before its process
+    // listens.
+    const asio::ip::address_v4 own(0x7f000000u | (static_cast<unsigned>(::getpid()) & 0x3fffffu) << 2 | 3);
+    std::list<Tcp::acceptor> ports;
+    for (Process& p : processes) p.listen = ports.emplace_back(io, Tcp::endpoint(own, 0)).local_endpoint();
+    ports.clear();
     for (std::size_t i = 0; i < kProcesses; ++i) {
-        processes[i].listen = Tcp::acceptor(io, any_port).local_endpoint();
         processes[i].rate = kWarm * kAble / kProcesses * (i % 10 == 3 ? 5 : 5.0 / 9);
         start(i);
     }
--- a/tests/rig/net_rig.hpp
+++ b/tests/rig/net_rig.hpp
@@ -221,7 +221,7 @@
         "fees":{"cross-zone":0.0},
         "limits":{"max-attempts":4,"may-cancel":true,"may-probe":true,"may-tell":true,"connect-timeout-ms":150.0,
                   "idle-close-ms":15000.0,"parallel-tries":false},
-        "rules":{"cold-from":0.16,"warm-within-ms":20000.0,"fall-multiple":2.0,"fall-ms":1000.0},
+        "rules":{"cold-from":0.16,"warm-within-ms":20000.0,"fall-multiple":2.0,"fall-ms":1000.0,"ask-within-ms":10000.0},
         "membership-mode":"pushed","siblings":3,"tenants":[]}})";
 }
 
