The bound on memory under a flood is held where the program's memory alone is measured

Seen: under the address sanitizer the flood of 2,000 connects peaked at 168,488 KiB, over the 32 MiB of the bound; in Release at 7,172 to 7,400 KiB. Ruled out: the program; the sanitizer keeps what is freed and its shadow in the same figure. Change: that one line is left out of the sanitized build; everywhere else it is as strict as before.

--- a/tests/integration/floods_test.cpp
+++ b/tests/integration/floods_test.cpp
@@ -30,7 +30,9 @@
               << " KiB, descriptors " << descriptors() << "\n";
     EXPECT_LE(kept_took, 400);  // the class's aim
     EXPECT_LE(descriptors(), 256u);
+#ifndef __SANITIZE_ADDRESS__  // which holds on to what is freed, and counts with the program
     EXPECT_LE(peak_memory(), 32u * 1024);
+#endif
 }
 
 // Places are wanted while the end of a request lies unread: it counts as taken, and is read.
