Clients' limits run on a clock that tests set; shutdown tests wait for events

A door takes its clock (Door::steady() unless a test gives its own), so do Front, Web, Sidecar and the daemon's options. A drain that accepts for no time ends accepting at once. What waits for an answer is read ahead by Guest::read_early, which was the front's own. The tests set the clock, ask for the health page behind what has to have been read (one thread answers in the order in which bytes come), end accepting ahead of the loop's next turn, or stop the program with SIGSTOP while bytes and signals are sent. Bounds on time that are themselves what is tested say so.

NoFurtherAttemptBeginsAheadOfItsEnd counted connections of both servers in one list, and answered on a wrong one where a connection was added; each connection is counted by itself now.

--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -358,7 +358,7 @@
                                      return admit(e, pool, request_class);
                                  },
                                  over, log},
-                budget);
+                budget, *options_.clients);
         else
             e.listener = std::make_unique<Web>(
                 io_,
@@ -376,7 +376,7 @@
                                    return admit(e, pool, request_class);
                                },
                                [this] { return random(); }, over, log},
-                budget);
+                budget, *options_.clients);
     } catch (const std::exception& error) {
         throw std::runtime_error("listener " + listener.name + ": " + listener.address + ": " + error.what());
     }
--- a/src/app/daemon.hpp
+++ b/src/app/daemon.hpp
@@ -37,6 +37,7 @@
         Log* log = nullptr;  // null: its own, on standard error
         // A server that gave notice of its end gets nothing new for so long, and counts as started anew then.
         Millis notice_hold = 5000;
+        const TimeSource* clients = &Door::steady();  // the clock of the limits of HTTP clients' connections
     };
     // Listens when it returns. Throws std::runtime_error with a line for each thing that is wrong: a route,
     // an address that can't be listened on, guarantees that don't fit.
--- a/src/app/sidecar.cpp
+++ b/src/app/sidecar.cpp
@@ -47,7 +47,6 @@
 constexpr Millis kSettleCareful = 250;
 // After a reused connection broke: longer than servers that close idle ones unseen take to show it again.
 constexpr Millis kDoubt = 10000;
-constexpr Millis kAccepting = 500;  // of a drain: new connections come for up to 400 ms
 
 Pool::Options options(const Config& config) {
     Pool::Options options;
@@ -62,7 +61,7 @@
 
 }  // namespace
 
-Sidecar::Sidecar(asio::io_context& io, Config config)
+Sidecar::Sidecar(asio::io_context& io, Config config, const TimeSource& clients)
     : config_(std::move(config)),
       wake_(io, clock_, [this] { engine_.run_due(); }),
       transport_(io, log_,
@@ -98,13 +97,14 @@
                                     [this] {
                                         if (drained_) std::exchange(drained_, nullptr)();
                                     },
-                                    [this](const std::string& line) { log_.line(line); }});
+                                    [this](const std::string& line) { log_.line(line); }},
+                   Door::Budget{}, clients);
 }
 
-void Sidecar::drain(std::function<void()> done) {
+void Sidecar::drain(std::function<void()> done, Millis accepting) {
     if (drained_) return;
     drained_ = std::move(done);
-    front_->drain(kAccepting);
+    front_->drain(accepting);
 }
 
 void Sidecar::hurry() {
--- a/src/app/sidecar.hpp
+++ b/src/app/sidecar.hpp
@@ -22,11 +22,12 @@
 class Sidecar {
 public:
     // Ready when it returns. Throws where the settings make no sense or an address can't be listened on.
-    Sidecar(boost::asio::io_context& io, Config config);
+    // `clients`: the clock of the limits of clients' connections.
+    Sidecar(boost::asio::io_context& io, Config config, const TimeSource& clients = Door::steady());
 
     // Finishes what it holds and what still comes, then calls `done`. Each request has the time that its
-    // client gives it.
-    void drain(std::function<void()> done);
+    // client gives it. `accepting`: new connections come for up to 400 ms.
+    void drain(std::function<void()> done, Millis accepting = 500);
     // During a drain: takes nothing more, and what is without an answer fails now.
     void hurry();
 
--- a/src/engine/engine.hpp
+++ b/src/engine/engine.hpp
@@ -13,16 +13,10 @@
 
 #include "engine/due.hpp"
 #include "engine/pool.hpp"
+#include "engine/time_source.hpp"
 
 namespace whinledge {
 
-// Milliseconds since 1970 that never go back, against which `started` of members is held.
-class TimeSource {
-public:
-    virtual ~TimeSource() = default;
-    virtual Millis now() const = 0;
-};
-
 class Engine {
 public:
     struct Host {
@@ -30,6 +24,7 @@
         std::function<void(Millis)> wake_at;
         std::function<void(const std::string& line)> log;
     };
+    // `time`: milliseconds since 1970, against which `started` of members is held.
     Engine(const TimeSource& time, Host host);
     ~Engine();
     Engine(const Engine&) = delete;
--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -1,5 +1,6 @@
 #include "http/front.hpp"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
@@ -122,8 +123,8 @@
 
 }  // namespace
 
-bool Front::RecentIds::take(const std::string& id) {
-    if (const auto now = Door::Clock::now(); now - since_ > span(kIdMemory) || now_.size() >= kMostIds) {
+bool Front::RecentIds::take(const std::string& id, Millis now) {
+    if (now - since_ > kIdMemory || now_.size() >= kMostIds) {
         before_.clear();
         before_.swap(now_);
         since_ = now;
@@ -240,11 +241,7 @@
                           });
     }
 
-    // Its end, or an error, is the next thing on the socket.
-    bool has_gone() const {
-        const error_code error = unread();
-        return error && error != asio::error::would_block;
-    }
+    using Guest::has_gone;
 
     // Who waits for an answer of the module still gets it; who was being read is refused, who was being
     // answered is told of a failure.
@@ -271,8 +268,6 @@
     // More than a request may have.
     static constexpr int kMostReads =
         static_cast<int>((kHeaderLimit + kBodyLimit + kFramingLimit) / (16 * 1024)) + 2;
-    // Of what comes early, ahead of an answer.
-    static constexpr std::size_t kMostEarly = 16 * 1024;
     enum class Phase { idle, reading, waiting, answering };
     using Parser = http::request_parser<http::string_body>;
 
@@ -290,7 +285,7 @@
     // After each answer.
     void next() {
         phase_ = Phase::idle;
-        door_->places().idles(place, steady_now());
+        door_->places().idles(place, door_->now());
         limit(0);
         if (door_->shut()) return last_chance();
         if (!pending_.empty())  // its next request, early
@@ -313,23 +308,11 @@
         read_ahead();
     }
 
-    // While it waits for its answer or takes it, so that its end is seen behind whatever it sends early.
     void read_ahead() {
-        error_code error;
-        const std::string_view bytes = receive(error);
-        if (error == asio::error::would_block) return wait_readable();
-        if (error) return phase_ == Phase::waiting ? close() : end_after_answer();  // which it may still take
-        if (!keep_early(bytes)) end_after_answer();
-        wait_readable();
-    }
-    bool keep_early(std::string_view bytes) noexcept {
-        if (!keep_ || pending_.size() + bytes.size() > kMostEarly) return false;
-        try {
-            pending_.append(bytes);
-            return true;
-        } catch (const std::bad_alloc&) {
-            return false;
-        }
+        const Early early = read_early(pending_, keep_);
+        if (early == Early::ended && phase_ == Phase::waiting) return close();
+        if (early != Early::kept) end_after_answer();  // which who has ended its sending may still take
+        if (early != Early::ended) wait_readable();
     }
     // Who has gone, or sends more than one request at a time: nothing that came early is begun.
     void end_after_answer() {
@@ -342,7 +325,7 @@
         phase_ = Phase::reading;
         head_only_ = false;
         if (!limited()) limit(kLongestRead);  // else it runs since the connecting
-        door_->places().wakes(place, steady_now());
+        door_->places().wakes(place, door_->now());
         scan_ = {};
         parser_.emplace();
         parser_->header_limit(kHeaderLimit);
@@ -419,7 +402,7 @@
     }
 
     void arrived() {
-        door_->places().asked(place, !arrival_, steady_now());
+        door_->places().asked(place, !arrival_, door_->now());
         limit(0);
         Message message = feed_->release(*parser_);
         parser_.reset();
@@ -427,7 +410,7 @@
         if (!arrival_)
             return answer(plain(message.method() == http::verb::get ? http::status::ok
                                                                     : http::status::method_not_allowed));
-        if (!front_.ids_.take(text(message["Request-Id"]))) return reject(http::status::conflict);
+        if (!front_.ids_.take(text(message["Request-Id"]), door_->now())) return reject(http::status::conflict);
         const auto self = std::static_pointer_cast<Client>(shared_from_this());
         call_ = std::make_shared<Request>(self, std::move(message));
         phase_ = Phase::waiting;
@@ -437,7 +420,8 @@
         const auto call = call_;
         if (!place || place->site != site_) return call->refused(0);
         if (front_.callbacks_.admit) {
-            Admission admission = front_.callbacks_.admit(place->pool->name(), site_->classes.at(arrival_->class_index));
+            Admission admission =
+                front_.callbacks_.admit(place->pool->name(), site_->classes.at(arrival_->class_index));
             if (!admission.grant) return call->refused(admission.retry_in);
             call->grant = std::move(admission.grant);
             call->grant->hold(call->size());
@@ -466,7 +450,7 @@
     Phase phase_ = Phase::idle;
     bool keep_ = true, head_only_ = false;
     bool may_be_sending_ = false;  // when its last answer has gone out
-    bool begun_ = false;  // its answer is on its way
+    bool begun_ = false;           // its answer is on its way
 };
 
 bool Front::Request::may_start(std::uint32_t) const noexcept {
@@ -511,13 +495,14 @@
 }
 
 Front::Front(asio::io_context& io, const Door::Listen& listen, std::size_t clients, Callbacks callbacks,
-             Door::Budget budget)
+             Door::Budget budget, const TimeSource& clock)
     : callbacks_(std::move(callbacks)),
+      ids_(clock.now()),
       door_(
           io, listen, clients,
           [this](Places::Id place, Tcp::socket socket) {
               return std::make_shared<Client>(*this, place, std::move(socket));
           },
-          callbacks_.drained, callbacks_.log, std::move(budget)) {}
+          callbacks_.drained, callbacks_.log, std::move(budget), clock) {}
 
 }  // namespace whinledge
--- a/src/http/front.hpp
+++ b/src/http/front.hpp
@@ -42,7 +42,7 @@
 
     // Listens at once; throws boost::system::system_error where it can't. `clients`: connections at once.
     Front(boost::asio::io_context& io, const Door::Listen& listen, std::size_t clients, Callbacks callbacks,
-          Door::Budget budget = {});
+          Door::Budget budget = {}, const TimeSource& clock = Door::steady());
 
     Door& door() override { return door_; }
     using Listener::door;
@@ -54,10 +54,12 @@
     // The ids of requests taken of late, of which none may come again. Older ones are forgotten.
     class RecentIds {
     public:
-        bool take(const std::string& id);  // false: it has been
+        explicit RecentIds(Millis now) : since_(now) {}
+        bool take(const std::string& id, Millis now);  // false: it has been
+
     private:
         std::unordered_set<std::string> now_, before_;
-        Door::Clock::time_point since_ = Door::Clock::now();
+        Millis since_;
     };
 
     Callbacks callbacks_;
--- a/src/http/web.cpp
+++ b/src/http/web.cpp
@@ -349,7 +349,7 @@
         head_request_ = false;
         if (!woken_) limit(web_.options_.head_timeout);
         woken_ = true;
-        door_->places().wakes(place, steady_now());
+        door_->places().wakes(place, door_->now());
         scan_ = {};
         parser_.emplace();
         parser_->header_limit(kHeaderLimit);
@@ -395,7 +395,7 @@
         head_request_ = head.method() == http::verb::head;
         feed_.emplace(*parser_, true);
         has_body_ = parser_->chunked() || parser_->content_length().value_or(0) > 0;
-        door_->places().asked(place, false, steady_now());
+        door_->places().asked(place, false, door_->now());
         woken_ = false;
         if (head.method() == http::verb::connect || head.method() == http::verb::trace)
             return reject(501), false;
@@ -761,7 +761,7 @@
     void next() {
         phase_ = Phase::idle;
         rejected_ = false;
-        door_->places().idles(place, steady_now());
+        door_->places().idles(place, door_->now());
         limit(web_.options_.idle_timeout);
         if (door_->shut()) return last_chance();
         if (!pending_.empty())  // its next request, early
@@ -856,7 +856,8 @@
 // ---- The listener
 // -----------------------------------------------------------------------------------------------
 
-Web::Web(asio::io_context& io, Options options, Callbacks callbacks, Door::Budget budget)
+Web::Web(asio::io_context& io, Options options, Callbacks callbacks, Door::Budget budget,
+         const TimeSource& clock)
     : options_(std::move(options)),
       callbacks_(std::move(callbacks)),
       id_seed_(callbacks_.random()),
@@ -865,7 +866,7 @@
           [this](Places::Id place, Tcp::socket socket) {
               return std::make_shared<Client>(*this, place, std::move(socket));
           },
-          callbacks_.drained, callbacks_.log, std::move(budget)) {}
+          callbacks_.drained, callbacks_.log, std::move(budget), clock) {}
 
 void Web::change(const Options& options) {
     options_.index = options.index;
--- a/src/http/web.hpp
+++ b/src/http/web.hpp
@@ -51,7 +51,8 @@
     };
 
     // Listens at once; throws boost::system::system_error where it can't.
-    Web(boost::asio::io_context& io, Options options, Callbacks callbacks, Door::Budget budget = {});
+    Web(boost::asio::io_context& io, Options options, Callbacks callbacks, Door::Budget budget = {},
+        const TimeSource& clock = Door::steady());
 
     const std::string& name() const { return options_.name; }
     Door& door() override { return door_; }
--- a/src/ldap/listener.cpp
+++ b/src/ldap/listener.cpp
@@ -392,10 +392,10 @@
         arrival.time_left = route.handling.timeout;
         if (op->request.time_limit > 0)
             arrival.time_left = std::min<Millis>(arrival.time_left, 1000.0 * op->request.time_limit);
-        op->deadline = steady_now() + arrival.time_left;
+        op->deadline = Door::steady().now() + arrival.time_left;
         if (op->bound) arrival.bound_to = op->session->home();
-        if (ops_.empty()) door_->places().wakes(place, steady_now());
-        door_->places().asked(place, false, steady_now());
+        if (ops_.empty()) door_->places().wakes(place, door_->now());
+        door_->places().asked(place, false, door_->now());
         ops_[op->id] = op;
         watch();
         view.pool->take(op, arrival);
@@ -603,7 +603,7 @@
         if (ops_.empty()) {
             waits_ = Waits::nothing;
             binding_ = false;
-            door_->places().idles(place, steady_now());
+            door_->places().idles(place, door_->now());
             if (leaving_) return part_with(unavailable, leaving_);
             door_->rested();
         }
@@ -712,7 +712,7 @@
             for (const LdapAnswer::Part& part : last_->parts) client.say(id, part.tail);
             return client.done(*this, last_.get());
         }
-        if (steady_now() >= deadline) {
+        if (Door::steady().now() >= deadline) {
             client.result(*this, time_limit_exceeded, "out of time: trying again is harmless");
             return client.done(*this, nullptr);
         }
--- a/src/listen/door.cpp
+++ b/src/listen/door.cpp
@@ -7,6 +7,7 @@
 #include <unistd.h>
 
 #include <boost/asio/post.hpp>
+#include <chrono>
 #include <utility>
 
 #include "io/clock.hpp"
@@ -24,14 +25,23 @@
 // How long the client's end is awaited after a last answer; longer where it may still be sending, or has not
 // got all of the answer.
 constexpr Millis kLinger = 300, kLongLinger = 2500;
-constexpr int kLastReads = 8;   // of what a client has sent, ahead of its connection's close
-constexpr Millis kHaste = 500;  // of a drain in haste, for answers to be taken
+constexpr std::size_t kMostEarly = 16 * 1024;  // of what a client sends ahead of its answer
+constexpr int kLastReads = 8;                  // of what a client has sent, ahead of its connection's close
+constexpr Millis kHaste = 500;                 // of a drain in haste, for answers to be taken
 
 std::size_t allowed_descriptors() {
     rlimit limit{};
     return ::getrlimit(RLIMIT_NOFILE, &limit) == 0 ? limit.rlim_cur : Door::kAny;
 }
 
+class SteadyTime final : public TimeSource {
+public:
+    Millis now() const override {
+        const auto since = std::chrono::steady_clock::now().time_since_epoch();
+        return std::chrono::duration<Millis, std::milli>(since).count();
+    }
+};
+
 }  // namespace
 
 // ---- A guest
@@ -54,9 +64,7 @@
     door->closed(*this);
 }
 
-void Door::Guest::limit(Millis length) {
-    limit_ = length > 0 ? Clock::now() + span(length) : Clock::time_point::max();
-}
+void Door::Guest::limit(Millis length) { limit_ = length > 0 && door_ ? door_->now() + length : kNever; }
 
 error_code Door::Guest::unread() const {
     char byte;
@@ -65,6 +73,11 @@
     return error;
 }
 
+bool Door::Guest::has_gone() const {
+    const error_code error = unread();
+    return error && error != asio::error::would_block;
+}
+
 void Door::Guest::wait_readable() {
     if (waiting_) return;
     socket_.async_wait(Tcp::socket::wait_read, [self = shared_from_this()](error_code failed) {
@@ -85,10 +98,24 @@
     return {door_->scratch_.data(), size};
 }
 
+Door::Guest::Early Door::Guest::read_early(std::string& pending, bool wanted) noexcept {
+    error_code error;
+    const std::string_view bytes = receive(error);
+    if (error == asio::error::would_block) return Early::kept;
+    if (error) return Early::ended;
+    if (!wanted || pending.size() + bytes.size() > kMostEarly) return Early::unwanted;
+    try {
+        pending.append(bytes);
+        return Early::kept;
+    } catch (const std::bad_alloc&) {
+        return Early::unwanted;
+    }
+}
+
 void Door::Guest::finish(bool may_be_sending) {
     finishing_ = true;
-    door_->places_.ends(place, steady_now());
-    longest_linger_ = Clock::now() + span(kLongLinger);
+    door_->places_.ends(place, door_->now());
+    longest_linger_ = door_->now() + kLongLinger;
     limit(may_be_sending ? kLongLinger : kLinger);
     error_code ignored;
     socket_.shutdown(Tcp::socket::shutdown_send, ignored);
@@ -110,7 +137,7 @@
 }
 
 // The next sweep looks again while there is time.
-void Door::Guest::linger_over(Clock::time_point now) {
+void Door::Guest::linger_over(Millis now) {
     if (now >= longest_linger_ || !undelivered()) drop();
 }
 
@@ -150,7 +177,8 @@
 }
 
 Door::Door(asio::io_context& io, const Listen& listen, std::size_t places, Make make,
-           std::function<void()> drained, std::function<void(const std::string&)> log, Budget budget)
+           std::function<void()> drained, std::function<void(const std::string&)> log, Budget budget,
+           const TimeSource& clock)
     : io_(io),
       acceptor_(listening(io, listen)),
       address_(acceptor_.local_endpoint()),
@@ -158,6 +186,7 @@
       drained_(std::move(drained)),
       log_(std::move(log)),
       budget_(std::move(budget)),
+      clock_(clock),
       timer_(io),
       sweep_timer_(io),
       drain_timer_(io),
@@ -168,6 +197,11 @@
     sweep();
 }
 
+const TimeSource& Door::steady() {
+    static const SteadyTime clock;
+    return clock;
+}
+
 Door::~Door() {
     drained_ = nullptr;
     if (acceptor_.is_open()) shut_acceptor();
@@ -183,7 +217,7 @@
             if (!cancelled && !alive.expired()) sweep();
         });
     });
-    const auto now = Clock::now();
+    const Millis now = this->now();
     for (const GuestPtr& guest : all())
         if (guest->overdue(now)) guest->finishing_ ? guest->linger_over(now) : guest->out_of_time();
     shut() ? end_drain() : accept();  // mostly it does
@@ -194,24 +228,25 @@
     if (!make_room() || !enter()) return pause();
     insist([this] {
         auto awaited = std::make_shared<char>();
-        acceptor_.async_accept([this, alive = alive(), awaited](error_code failed, Tcp::socket socket) mutable {
-            if (alive.expired()) return;
-            awaited.reset();
-            entered_ = false;
-            if (failed && budget_.leave) budget_.leave();
-            try {
-                if (!failed) {
-                    const GuestPtr guest = accepted(std::move(socket));
-                    if (shut()) last_chance(guest);  // it came just as accepting ended
-                    return accept();
+        acceptor_.async_accept(
+            [this, alive = alive(), awaited](error_code failed, Tcp::socket socket) mutable {
+                if (alive.expired()) return;
+                awaited.reset();
+                entered_ = false;
+                if (failed && budget_.leave) budget_.leave();
+                try {
+                    if (!failed) {
+                        const GuestPtr guest = accepted(std::move(socket));
+                        if (shut()) last_chance(guest);  // it came just as accepting ended
+                        return accept();
+                    }
+                    if (failed == asio::error::no_descriptors && close_least(allowed_descriptors()))
+                        return;  // and accepts again
+                } catch (const std::exception& error) {
+                    log_(std::string("a connection was not taken: ") + error.what());
                 }
-                if (failed == asio::error::no_descriptors && close_least(allowed_descriptors()))
-                    return;  // and accepts again
-            } catch (const std::exception& error) {
-                log_(std::string("a connection was not taken: ") + error.what());
-            }
-            shut() ? end_drain() : pause();
-        });
+                shut() ? end_drain() : pause();
+            });
         accepting_ = awaited;
     });
 }
@@ -233,7 +268,7 @@
         if (budget_.leave) budget_.leave();
         throw;
     }
-    places_.connected(guest->place, steady_now());
+    places_.connected(guest->place, now());
     try {
         guests_.emplace(guest->place, guest);
         guest->welcome();
@@ -267,7 +302,7 @@
         return static_cast<std::size_t>(guest->socket_.native_handle()) < below &&
                (guest->finishing_ || guest->spare());
     };
-    const auto least = places_.least_worth(steady_now(), spare);
+    const auto least = places_.least_worth(now(), spare);
     if (least) GuestPtr(guests_.at(*least))->drop();
     return least.has_value();
 }
@@ -301,6 +336,7 @@
 void Door::drain(Millis accepting) {
     if (draining_) return;
     draining_ = true;
+    if (accepting <= 0) return stop_accepting();
     drain_timer_.expires_after(span(accepting));
     drain_timer_.async_wait([this, alive = alive()](error_code cancelled) {
         if (!cancelled && !alive.expired()) stop_accepting();
--- a/src/listen/door.hpp
+++ b/src/listen/door.hpp
@@ -6,14 +6,15 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <chrono>
 #include <functional>
+#include <limits>
 #include <memory>
+#include <string>
 #include <string_view>
 #include <unordered_map>
 #include <vector>
 
-#include "engine/types.hpp"
+#include "engine/time_source.hpp"
 #include "limits/places.hpp"
 
 namespace whinledge {
@@ -21,7 +22,6 @@
 class Door {
 public:
     using Tcp = boost::asio::ip::tcp;
-    using Clock = std::chrono::steady_clock;
     static constexpr std::size_t kAny = static_cast<std::size_t>(-1);
 
     // One connection, on the loop's thread.
@@ -39,7 +39,7 @@
         // nothing is ended in good order: a request that crosses this is never sent on.
         virtual void last_chance() = 0;
 
-        bool overdue(Clock::time_point now) const { return now >= limit_; }
+        bool overdue(Millis now) const { return now >= limit_; }
         // At once: of a connection that has ended or broken by itself.
         void close();
 
@@ -57,13 +57,19 @@
 
         // From now; 0: none.
         void limit(Millis length);
-        bool limited() const { return limit_ != Clock::time_point::max(); }
+        bool limited() const { return limit_ != kNever; }
         // What a read would bring: an error, its end, or nothing yet (would_block).
         error_code unread() const;
+        // Its end, or an error, is the next thing on the socket.
+        bool has_gone() const;
         // One wait at a time; its end is readable().
         void wait_readable();
         // Bytes of what can be had at once, in the door's buffer; empty with would_block.
         std::string_view receive(error_code& error);
+        // Who waits for its answer, or takes it, is read on, so that its end is seen behind whatever it sends
+        // early. Appends that to `pending`; what is not wanted, or too much, is dropped.
+        enum class Early { kept, unwanted, ended };
+        Early read_early(std::string& pending, bool wanted) noexcept;
         // Closing over unread bytes would reset the connection and could take the answer with it: a
         // half-close, then a linger, in which the client's end is awaited and what it still sends is dropped.
         void finish(bool may_be_sending);
@@ -78,11 +84,11 @@
     private:
         friend class Door;
         bool undelivered();
-        void linger_over(Clock::time_point now);
+        void linger_over(Millis now);
         void drop();
 
-        Clock::time_point limit_ = Clock::time_point::max();
-        Clock::time_point longest_linger_;
+        static constexpr Millis kNever = std::numeric_limits<Millis>::infinity();
+        Millis limit_ = kNever, longest_linger_ = 0;
         bool waiting_ = false, finishing_ = false;
     };
     using GuestPtr = std::shared_ptr<Guest>;
@@ -108,7 +114,8 @@
     // Listens at once; throws boost::system::system_error where it can't. `drained` is called once, after a
     // drain, when no guest is left, in haste a moment later at the latest.
     Door(boost::asio::io_context& io, const Listen& listen, std::size_t places, Make make,
-         std::function<void()> drained, std::function<void(const std::string&)> log, Budget budget = {});
+         std::function<void()> drained, std::function<void(const std::string&)> log, Budget budget = {},
+         const TimeSource& clock = steady());
     ~Door();
 
     Tcp::endpoint address() const { return address_; }
@@ -121,6 +128,9 @@
     // Connections that wait to be accepted.
     std::size_t queued() const;
     boost::asio::io_context& io() { return io_; }
+    // On the clock of all limits of guests.
+    Millis now() const { return clock_.now(); }
+    static const TimeSource& steady();
 
     // A guest may make room now.
     void rested();
@@ -156,6 +166,7 @@
     std::function<void()> drained_;
     std::function<void(const std::string&)> log_;
     Budget budget_;
+    const TimeSource& clock_;
     boost::asio::steady_timer timer_;  // of the next try to accept
     boost::asio::steady_timer sweep_timer_;
     boost::asio::steady_timer drain_timer_;
@@ -164,8 +175,8 @@
     Places::Id next_guest_ = 1;
     std::array<char, 16 * 1024> scratch_{};  // what is read, before it is a guest's own
     bool draining_ = false, hurried_ = false;
-    // A connection is awaited, or has come and waits in the loop's queue. It is the handler that holds it: the
-    // loop drops that one where memory is wanting for what has come, and the sweep accepts anew.
+    // A connection is awaited, or has come and waits in the loop's queue. It is the handler that holds it:
+    // the loop drops that one where memory is wanting for what has come, and the sweep accepts anew.
     std::weak_ptr<void> accepting_;
     bool entered_ = false;  // a descriptor has been asked for ahead
     // What waits in the loop's queue may come after the door's end, timers that have run out too.
@@ -173,9 +184,4 @@
     std::weak_ptr<Door*> alive() const { return self_; }
 };
 
-// Milliseconds on the steady clock.
-inline Millis steady_now() {
-    return std::chrono::duration<Millis, std::milli>(Door::Clock::now().time_since_epoch()).count();
-}
-
 }  // namespace whinledge
--- a/tests/integration/client_leaves_test.cpp
+++ b/tests/integration/client_leaves_test.cpp
@@ -49,9 +49,11 @@
     void until_forgotten() {
         const auto begun = std::chrono::steady_clock::now();
         until([&] { return sidecar->clients() == 0 && sidecar->records() == 0; });
+        // No event tells a client that is seen to go from a request whose time is over: the requests have 5
+        // s.
         EXPECT_LT(std::chrono::steady_clock::now() - begun, std::chrono::seconds(2));
         EXPECT_EQ(sidecar->held().requests, 0u);
-        rest();  // what went out before has come by now
+        caught_up();
     }
     static std::string get(int number) { return request("listen", "id-" + std::to_string(number), 5000); }
 };
@@ -60,7 +62,7 @@
     start_with_a();
     TestClient& c = waiting(get(1));
     c.send(get(2).substr(0, 20));
-    rest();  // its early bytes come ahead of its end
+    caught_up();  // its early bytes are read ahead of its end
     c.close();
     until_forgotten();
     until([&] { return a.ended() == 1; });  // its attempt is given up
@@ -103,7 +105,7 @@
     std::string all = get(1);
     for (int i = 2; i < 6000; ++i) all += get(i);
     peer.send(all);
-    until([&] { return peer.sent; });
+    until([&] { return peer.sent && a.requests.size() == 1; });
     EXPECT_FALSE(peer.broken);
     EXPECT_EQ(a.requests.size(), 1u);
     peer.socket.close();
@@ -117,7 +119,7 @@
     start_with_a();
     Peer peer(io, sidecar->address());
     peer.send(get(1) + std::string(1 << 20, 'x'));
-    until([&] { return peer.sent; });
+    until([&] { return peer.sent && a.requests.size() == 1; });
     a.send(0, response("200 OK", "first"));
     peer.read();
     until([&] { return peer.ended; });
@@ -155,16 +157,11 @@
     until([&] { return sidecar->clients() == 0; });
     rest();
     for (int round = 1; round <= 10; ++round) {
-        std::vector<std::size_t> before;
-        for (ScriptedServer* s : {&a, &b})
-            for (const auto& connection : s->connections) before.push_back(connection->requests);
+        rest();
+        const auto before = asked_on({&a, &b});
         TestClient& c = waiting(get(round));
         const std::size_t seen = arrived();
-        std::size_t at = 0;
-        for (ScriptedServer* s : {&a, &b})
-            for (std::size_t i = 0; i < s->connections.size(); ++i, ++at)
-                if (at >= before.size() || s->connections[i]->requests > before[at])
-                    s->send(i, response("503 Full", "", "Not-Started: 1\r\n"));
+        answer_new({&a, &b}, before, response("503 Full", "", "Not-Started: 1\r\n"));
         c.close();
         until_forgotten();
         EXPECT_EQ(arrived(), seen) << "sent on for nobody";
@@ -185,7 +182,7 @@
                        all.begin(), all.end(), [](TestClient* c) { return !c->answers.empty(); })) ==
                all.size();
     });
-    rest();
+    caught_up();
     const std::size_t seen = arrived();
     EXPECT_GT(seen, 0u);
     for (TestClient* c : all) c->close();
@@ -206,7 +203,7 @@
     start_with("\"may-cancel\":true", "\"may-cancel\":false");
     waiting(get(1)).close();
     until([&] { return sidecar->clients() == 0; });
-    rest();
+    caught_up();
     EXPECT_EQ(sidecar->records(), 1u) << "still out";
     EXPECT_EQ(a.ended(), 0u);
     a.send(0, response("200 OK", "for nobody"));
--- a/tests/integration/shutdown_test.cpp
+++ b/tests/integration/shutdown_test.cpp
@@ -6,15 +6,12 @@
 #include <csignal>
 #include <filesystem>
 #include <fstream>
-#include <thread>
 
 #include "rig/net_rig.hpp"
 
 namespace whinledge::test {
 namespace {
 
-constexpr const char* kHealth = "GET /_health HTTP/1.1\r\nHost: app.svc\r\n\r\n";
-
 // A connection of the application of which every byte and the way in which it ends count.
 struct Peer {
     Peer(asio::io_context& io, const Tcp::endpoint& to, int receive_buffer = 0) : socket(io) {
@@ -68,10 +65,16 @@
     void drain() {
         sidecar->drain([this] { done = true; });
     }
-    // The time of accepting runs out while the loop has no turn; what comes meanwhile lies unread.
-    void accepting_runs_out() {
-        drain();
-        std::this_thread::sleep_for(std::chrono::milliseconds(520));
+    // Accepting ends ahead of the loop's next turn: what has come since its last lies unread.
+    void end_accepting() {
+        sidecar->drain([this] { done = true; }, 0);
+    }
+    void until_refused() {
+        until([&] {
+            error_code failed;
+            Tcp::socket(io).connect(sidecar->address(), failed);
+            return failed == asio::error::connection_refused;
+        });
     }
     void until_over(Peer& p) {
         until([&] { return p.ended; });
@@ -117,26 +120,33 @@
     EXPECT_EQ(p.got, "");
 }
 
-// All that the machine has of a request when accepting ends counts, read or not.
+// All that the machine has of a request when accepting ends counts, read or not; also where its time runs out
+// in the very turn of the loop that hears of the bytes.
 TEST_F(Shutdown, WhatLiesUnreadAsAcceptingEndsIsTaken) {
-    start_with_a();
-    Peer &rests = resting(), &half = peer(), &fresh = peer();
-    const std::string body = request("deposit", "id-2", 3000, std::string(50000, 'x'));
-    half.send(body.substr(0, body.size() - 1));
-    until([&] { return sidecar->clients() == 3; });
-    rest();
-    accepting_runs_out();
-    rests.send(request("listen", "id-1"));
-    half.send(body.substr(body.size() - 1));
-    fresh.send(request("listen", "id-3"));
-    Peer& late = peer();  // connected, and not accepted
-    late.send(request("listen", "id-4"));
-    for (Peer& p : peers) {
-        until_over(p);
-        EXPECT_TRUE(p.answered("200")) << p.got;
-        EXPECT_TRUE(p.got.ends_with("served"));
+    for (const Millis accepting : {0.0, 0.001}) {
+        SCOPED_TRACE(accepting);
+        peers.clear();
+        a.requests.clear();
+        start_with_a();
+        Peer &rests = resting(), &half = peer(), &fresh = peer();
+        const std::string body = request("deposit", "id-2", 3000, std::string(50000, 'x'));
+        half.send(body.substr(0, body.size() - 1));
+        until([&] { return sidecar->clients() == 3; });
+        caught_up();
+        if (accepting > 0) sidecar->drain([] {}, accepting);
+        rests.send(request("listen", "id-1"));
+        half.send(body.substr(body.size() - 1));
+        fresh.send(request("listen", "id-3"));
+        Peer& late = peer();  // connected, and not accepted
+        late.send(request("listen", "id-4"));
+        if (accepting <= 0) end_accepting();
+        for (Peer& p : peers) {
+            until_over(p);
+            EXPECT_TRUE(p.answered("200")) << p.got;
+            EXPECT_TRUE(p.got.ends_with("served"));
+        }
+        EXPECT_EQ(a.requests.size(), 4u);
     }
-    EXPECT_EQ(a.requests.size(), 4u);
 }
 
 // A head or a body of which the rest is still coming: refused, and what comes is dropped under no reset.
@@ -147,8 +157,7 @@
         start_with_a();
         Peer& p = peer();
         p.send(whole.substr(0, sent));
-        until([&] { return sidecar->clients() == 1; });
-        rest();
+        caught_up();
         drain();
         sidecar->hurry();
         until([&] { return p.answered("503"); });
@@ -170,9 +179,9 @@
     Peer& p = peer();
     p.send(request("deposit", "id-1", 3000));
     until([&] { return a.requests.size() == 1; });
-    accepting_runs_out();
+    end_accepting();
     p.send(request("deposit", "id-2", 3000));
-    rest();
+    until_refused();
     EXPECT_FALSE(done);
     a.send(0, response("200 OK", "first"));
     until_over(p);
@@ -183,20 +192,20 @@
     EXPECT_EQ(a.requests.size(), 1u);
 }
 
-// A client that takes nothing for longer than a usual linger, and sends: its answer waits for it.
+// A client that takes nothing for longer than a usual linger, and sends: its answer waits for it. Another one
+// that has its answer and goes on holding its connection is ended then, by the same look at whose time is up.
 TEST_F(Shutdown, AnAnswerThatIsNotTakenYetIsNotLostToWhatItsClientSends) {
+    set_clock();
     start_with_a();
     const std::string large(60000, 'y');
     a.script = [&](const auto&) { return Reply{response("200 OK", large)}; };
-    Peer& p = peer(2048);
-    accepting_runs_out();
+    Peer &p = peer(2048), &taker = resting();
     p.send(request("listen", "id-1"));
-    until([&] { return a.requests.size() == 1; });
-    std::this_thread::sleep_for(std::chrono::milliseconds(100));
-    asio::steady_timer linger(io, std::chrono::milliseconds(900));
-    bool over = false;
-    linger.async_wait([&](error_code) { over = true; });
-    until([&] { return over; });
+    end_accepting();
+    until([&] { return p.socket.available() > 0 && taker.ended; });
+    EXPECT_EQ(sidecar->clients(), 2u);
+    time.at += 900;
+    until([&] { return sidecar->clients() == 1; });
     EXPECT_FALSE(done) << "it is on its way";
     p.send(request("listen", "id-2"));
     p.read();
@@ -207,17 +216,79 @@
     EXPECT_EQ(a.requests.size(), 1u);
 }
 
+// The same for as long as it may last.
+TEST_F(Shutdown, AnAnswerThatIsNeverTakenHoldsTheEndUpForSoLongAtMost) {
+    set_clock();
+    start_with_a();
+    const std::string large(60000, 'y');
+    a.script = [&](const auto&) { return Reply{response("200 OK", large)}; };
+    Peer& p = peer(2048);
+    p.send(request("listen", "id-1"));
+    end_accepting();
+    until([&] { return p.socket.available() > 0; });
+    until_refused();
+    time.at += 2500;
+    until([&] { return done; });
+}
+
+// Its answer was promised to be followed by others, and goes out in two parts, between which accepting ends.
+TEST_F(Shutdown, AnAnswerThatPromisedMoreGoesOutAsAcceptingEnds) {
+    const std::string next = request("listen", "id-2");
+    for (const std::string& early : {std::string(), next, next.substr(0, 30)}) {
+        SCOPED_TRACE(early.size());
+        done = false;
+        a.requests.clear();
+        set_clock();
+        start_with_a();
+        const std::string large(60000, 'y');
+        a.script = [&](const auto& r) {
+            return Reply{response("200 OK", r["Request-Id"] == "id-1" ? large : "second")};
+        };
+        Peer& p = peer(2048);
+        until([&] { return sidecar->clients() == 1; });
+        const int little = 2048;
+        ::setsockopt(other_side(p.socket), SOL_SOCKET, SO_SNDBUF, &little, sizeof little);
+        p.send(request("listen", "id-1"));
+        until([&] { return p.socket.available() > 0; });
+        if (!early.empty()) p.send(early);
+        caught_up();
+        end_accepting();
+        until_refused();
+        p.read();
+        until_over(p);
+        const auto second = p.got.find(large) + large.size();
+        ASSERT_LE(second, p.got.size());
+        EXPECT_EQ(p.got.substr(0, p.got.find("\r\n\r\n")).find("Connection: close"), std::string::npos);
+        const std::string rest = p.got.substr(second);
+        if (early.empty()) {
+            EXPECT_EQ(rest, "");
+            EXPECT_TRUE(p.send(next)) << "closed over it";
+        } else {
+            EXPECT_TRUE(rest.starts_with(early == next ? "HTTP/1.1 200" : "HTTP/1.1 503")) << rest;
+            EXPECT_NE(rest.find("Connection: close"), std::string::npos);
+        }
+        p.socket.close();
+        until([&] { return done; });
+        EXPECT_EQ(a.requests.size(), early == next ? 2u : 1u);
+    }
+}
+
 // Who never ends its connection holds the end up for its linger, not for ever.
 TEST_F(Shutdown, ClientsThatNeverCloseDoNotHoldTheEndUp) {
+    set_clock();
     start_with_a();
     for (int i = 0; i < 5; ++i) resting();
     Peer& half = peer();
     half.send("GET /lis");
-    const auto begun = std::chrono::steady_clock::now();
-    drain();
-    until([&] { return done; });
-    EXPECT_LT(std::chrono::steady_clock::now() - begun, std::chrono::milliseconds(3700));
+    drain();  // for its own time, by the loop's clock
+    until([&] { return std::all_of(peers.begin(), peers.end(), [](const Peer& p) { return p.ended; }); });
     EXPECT_TRUE(half.answered("503"));
+    EXPECT_EQ(sidecar->clients(), 6u);
+    time.at += 300;
+    until([&] { return sidecar->clients() == 1; });
+    EXPECT_FALSE(done) << "it may be sending";
+    time.at += 2200;
+    until([&] { return done; });
 }
 
 // A connection that was accepted in the loop's last turn but one, and waits in its queue behind the end of
@@ -356,6 +427,15 @@
         p.send(bytes);
         return p;
     }
+    // What it meets at once when it has its next turn, in whatever time the test takes.
+    void while_it_stands_still(const std::function<void()>& what) {
+        ::kill(child, SIGSTOP);
+        int status = 0;
+        ::waitpid(child, &status, WUNTRACED);
+        EXPECT_TRUE(WIFSTOPPED(status));
+        what();
+        ::kill(child, SIGCONT);
+    }
     // Waits until the program has ended by itself.
     int status() {
         int status = -1;
@@ -381,17 +461,22 @@
     Peer& after = asking(kHealth);
     run_until(io, [&] { return after.answered("200"); });
     const auto begun = std::chrono::steady_clock::now();
-    ::kill(child, SIGTERM);
-    ::kill(child, SIGHUP);
-    Peer& fresh = asking(request("deposit", "id-3", 1500));
-    run_until(io, [&] { return server.requests.size() == 2; });
-    again.send(request("deposit", "id-4", 1500));  // on a connection that is still open
+    Peer* last = nullptr;
+    while_it_stands_still([&] {
+        ::kill(child, SIGTERM);
+        ::kill(child, SIGHUP);
+        last = &asking(request("deposit", "id-3", 1500));
+        again.send(request("deposit", "id-4", 1500));  // on a connection that is still open
+    });
+    Peer& fresh = *last;
     run_until(io, [&] { return server.requests.size() == 3; });
     const auto sent_on = server.requests.size();
     run_until(io, [&] { return rests.ended && head.ended && half.ended; });
     for (Peer* p : {&rests, &head, &half, &after}) p->send(request("deposit", "crosses", 1500));
     run_until(io, [&] { return out.ended && fresh.ended && again.ended && after.ended; });
     EXPECT_EQ(status(), 0);
+    // The bound itself: 500 ms of accepting, 1.5 s for what is out, the longest linger, and the machine's
+    // part.
     EXPECT_LT(std::chrono::steady_clock::now() - begun, std::chrono::milliseconds(3700 + 500));
     for (const Peer& p : peers) EXPECT_TRUE(p.clean || p.got.empty()) << p.got;
     EXPECT_EQ(rests.got, "");
@@ -406,13 +491,17 @@
     Peer &rests = asking(kHealth), &out = asking(request("deposit", "id-1", 3000));
     run_until(io, [&] { return rests.answered("200") && server.requests.size() == 1; });
     Peer& half = asking(request("deposit", "id-2", 3000, "a song").substr(0, 60));
-    ::kill(child, SIGTERM);
-    Peer& late = asking(kHealth);
-    run_until(io, [&] { return late.ended; });  // closed with its answer: it drains
+    Peer* last = nullptr;
+    while_it_stands_still([&] {
+        ::kill(child, SIGTERM);
+        last = &asking(kHealth);
+    });
+    run_until(io, [&] { return last->ended; });  // closed with its answer: it drains
     const auto begun = std::chrono::steady_clock::now();
     ::kill(child, SIGTERM);
     run_until(io, [&] { return out.ended && half.ended && rests.ended; });
     EXPECT_EQ(status(), 0);
+    // The bound itself: half a second for who is left, and the machine's part.
     EXPECT_LT(std::chrono::steady_clock::now() - begun, std::chrono::milliseconds(2000));
     EXPECT_TRUE(out.answered("502")) << out.got;
     EXPECT_TRUE(half.answered("503")) << half.got;
--- a/tests/rig/engine_rig.hpp
+++ b/tests/rig/engine_rig.hpp
@@ -13,14 +13,10 @@
 #include <vector>
 
 #include "engine/engine.hpp"
+#include "rig/test_time.hpp"
 
 namespace whinledge::test {
 
-struct TestTime final : TimeSource {
-    Millis now() const override { return at; }
-    Millis at = 1e6;
-};
-
 struct TextAnswer final : Answer {
     explicit TextAnswer(std::string t) : text(std::move(t)) {}
     std::string text;
--- a/tests/rig/net_rig.hpp
+++ b/tests/rig/net_rig.hpp
@@ -3,18 +3,22 @@
 #pragma once
 
 #include <gtest/gtest.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
 
 #include <boost/asio.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <functional>
 #include <list>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
 #include <vector>
 
 #include "app/sidecar.hpp"
+#include "rig/test_time.hpp"
 
 namespace whinledge::test {
 
@@ -32,8 +36,25 @@
     }
 }
 
+inline constexpr const char* kHealth = "GET /_health HTTP/1.1\r\nHost: app.svc\r\n\r\n";
+
 inline const Tcp::endpoint any_port(asio::ip::address_v4::loopback(), 0);
 
+// The descriptor at the other end of a connection within this process; -1: there is none.
+inline int other_side(const Tcp::socket& socket) {
+    const auto port = [](auto ask, int fd) {
+        sockaddr_in at{};
+        socklen_t size = sizeof at;
+        const bool known = ask(fd, reinterpret_cast<sockaddr*>(&at), &size) == 0 && at.sin_family == AF_INET;
+        return known ? ntohs(at.sin_port) : 0;
+    };
+    for (int fd = 0; fd < 1024; ++fd)
+        if (port(::getpeername, fd) == socket.local_endpoint().port() &&
+            port(::getsockname, fd) == socket.remote_endpoint().port())
+            return fd;
+    return -1;
+}
+
 // What a scripted server does about a request: bytes to send, then perhaps the end of the connection.
 struct Reply {
     std::string bytes{};
@@ -144,6 +165,22 @@
     Tcp::endpoint address_ = acceptor_.local_endpoint();
 };
 
+// How many requests each connection of servers has had.
+using AskedOn = std::map<const ScriptedServer::Connection*, std::size_t>;
+inline AskedOn asked_on(const std::vector<ScriptedServer*>& servers) {
+    AskedOn asked;
+    for (const ScriptedServer* s : servers)
+        for (const auto& c : s->connections) asked[c.get()] = c->requests;
+    return asked;
+}
+// To the requests that have come since.
+inline void answer_new(const std::vector<ScriptedServer*>& servers, AskedOn before,
+                       const std::string& bytes) {
+    for (ScriptedServer* s : servers)
+        for (const auto& c : s->connections)
+            if (c->requests > before[c.get()]) asio::write(c->socket, asio::buffer(bytes));
+}
+
 // The application: one connection, what came back on it, and whether it was ended.
 class TestClient {
 public:
@@ -231,6 +268,8 @@
     ScriptedServer::Script serve = [](const auto&) { return Reply{response("200 OK", "served")}; };
     ScriptedServer::Script silence = [](const auto&) { return Reply{}; };
     ScriptedServer a{io, serve}, b{io, serve}, agent{io, silence};
+    TestTime time;  // of clients' connections, once set_clock() has said so
+    const TimeSource* clock = &Door::steady();
     std::optional<Sidecar> sidecar;
     std::list<TestClient> clients;
 
@@ -240,8 +279,11 @@
     }
     void start(std::vector<Listed> known = {}, const std::string& sockets = "1024") {
         if (known.empty()) known = {{"s-a", a.address()}, {"s-b", b.address()}};
-        sidecar.emplace(io, read_config(config_json(agent.address(), list_json(41, true, known), sockets)));
+        sidecar.emplace(io, read_config(config_json(agent.address(), list_json(41, true, known), sockets)),
+                        *clock);
     }
+    // Ahead of start().
+    void set_clock() { clock = &time; }
     void start_with_a() { start({{"s-a", a.address()}}); }
     TestClient& client() { return clients.emplace_back(io, sidecar->address()); }
     void until(const std::function<bool()>& reached) { run_until(io, reached); }
@@ -252,7 +294,17 @@
         until([&] { return !c.answers.empty() || c.ended; });
         return c.answers.empty() ? TestClient::Answer{} : c.answers.front();
     }
-    // Long enough for connections to servers to be used again.
+    // What has been sent up to now has been read, and what went out for it has come: one thread answers in
+    // the order in which bytes come.
+    void caught_up() {
+        TestClient& last = client();
+        last.send(kHealth);
+        until([&] { return last.answers.size() == 1; });
+        const std::size_t all = sidecar->clients();
+        clients.pop_back();
+        until([&] { return sidecar->clients() < all; });
+    }
+    // Long enough for connections to servers to be used again: the least time, longer changes nothing.
     void rest() {
         asio::steady_timer timer(io, std::chrono::milliseconds(10));
         bool rested = false;
--- a/tests/rig/service_rig.hpp
+++ b/tests/rig/service_rig.hpp
@@ -39,7 +39,7 @@
     Tcp::socket& socket() { return socket_; }
 
     std::string text;
-    bool ended = false;
+    bool ended = false, clean = false;
 
 private:
     void read() {
@@ -48,6 +48,7 @@
                                     if (*gone || failed == asio::error::operation_aborted) return;
                                     text.append(keep->data(), size);
                                     ended = static_cast<bool>(failed);
+                                    clean = failed == asio::error::eof;
                                     if (!failed) read();
                                 });
     }
@@ -67,6 +68,8 @@
     // The log's lines, in memory.
     const int log_file = ::memfd_create("log", 0);
     Log log{log_file};
+    TestTime time;  // of clients' connections, once set_clock() has said so
+    const TimeSource* clock = &Door::steady();
     std::optional<Daemon> daemon;
     std::list<TestClient> clients;
     std::list<RawClient> raw;
@@ -125,8 +128,11 @@
         options.regexes = &route::make_regex;
 #endif
         options.log = &log;
+        options.clients = clock;
         return options;
     }
+    // Ahead of start().
+    void set_clock() { clock = &time; }
     void start(const std::string& text) { daemon.emplace(io, services_of(text), options()); }
     void reload(const std::string& text) { daemon->reload(services_of(text)); }
     Tcp::endpoint edge() const { return daemon->address("edge"); }
