The http profile reads on while a request waits, so that a client's end is seen

Behind early bytes the http profile read nothing more while a request waited: a client that had sent a part of its next request, or whole ones, and left was held until its route's timeout, with its attempt. It also closed a half-read head for room whose rest lay unread, and began a further attempt or an early request without a look at whether its client was still there.

A half-close while a request waits is its client's end, as it was; while the answer goes out it loses nothing. spare(), begin() and may_start() look as those of the platform's profile do.

--- a/src/http/web.cpp
+++ b/src/http/web.cpp
@@ -149,6 +149,7 @@
     std::unique_ptr<Grant> grant;
     std::size_t held = 0;  // bytes asked of it
     bool is_head = false;
+    bool arriving = true;                 // its body, or the buffered part, has just been read
     std::optional<std::uint64_t> length;  // of the body, where it was told
     bool has_body = false;
     // As the body comes: what is buffered of it, then the rest.
@@ -191,9 +192,9 @@
     bool by_close() const override { return true; }
     bool begins_when_whole() const override { return false; }
     Millis idle() const override { return route->handling.stream_idle; }
-    bool may_start(std::uint32_t attempt) const noexcept override {
-        return attempt < route->handling.attempts && (!rest || !rest->touched());
-    }
+    // An attempt that does not begin right on arrival looks first: its client's end may wait in the loop's
+    // queue behind what makes room for it.
+    bool may_start(std::uint32_t attempt) const noexcept override;
 
     std::shared_ptr<Stream> pass_on(Upstream::Response answer,
                                     std::optional<std::uint64_t> answer_length) override;
@@ -234,9 +235,9 @@
         wait_readable();
         door_->rested();
     }
+    // What lies unread may be the end of a head, which counts as taken; what idles may hold a whole one.
     bool spare() const override {
-        return phase_ == Phase::head ||
-               (phase_ == Phase::idle && pending_.empty() && unread() != error_code());
+        return (phase_ != Phase::idle || pending_.empty()) && unread() != error_code();
     }
     void out_of_time() override {
         if (phase_ == Phase::head || reading_body_) return spoilt(408);
@@ -322,6 +323,7 @@
         broken();
     }
     bool http11() const { return version_ == 11; }
+    using Guest::has_gone;
 
 private:
     static constexpr int kMostReads = 16;
@@ -336,12 +338,19 @@
     void readable(error_code) override {
         if (phase_ == Phase::idle) return begin();
         if (reading_body_ || phase_ == Phase::head) return read();
-        const error_code error = unread();
-        if (error == asio::error::would_block)
-            wait_readable();
-        else if (error && phase_ != Phase::answering)
-            close();
-        // Else its next request, early, or its end while the answer goes out: seen when that is done.
+        read_ahead();
+    }
+    void read_ahead() {
+        const Early early = read_early(pending_, keep_);
+        if (early == Early::ended && phase_ != Phase::answering) return close();
+        if (early != Early::kept) end_after_answer();  // which who has ended its sending may still take
+        if (early != Early::ended) wait_readable();
+    }
+    // Who has gone, or sends more than one request at a time: nothing that came early is begun.
+    void end_after_answer() {
+        keep_ = false;
+        rejected_ = true;
+        std::string().swap(pending_);
     }
 
     void begin() {
@@ -355,7 +364,8 @@
         parser_->header_limit(kHeaderLimit);
         parser_->body_limit(kAnyLength);
         parser_->eager(true);
-        pending_.empty() ? read() : parse();
+        if (pending_.empty()) return read();
+        has_gone() ? close() : parse();
     }
 
     void read() {
@@ -600,9 +610,10 @@
         Arrival arrival;
         arrival.class_index = index_of(call_->class_name, pool);
         arrival.time_left = call_->route->handling.timeout;
-        if (pending_.empty() || reading_body_) wait_readable();
+        wait_readable();
         const auto call = call_;
         pool.pool->take(call, arrival);
+        call->arriving = false;
     }
 
     // Bytes of a body that can't be read, are too many or don't come. What a server has of it by now is
@@ -809,6 +820,11 @@
 // ---- How it ends
 // ------------------------------------------------------------------------------------------------
 
+bool Web::Exchange::may_start(std::uint32_t attempt) const noexcept {
+    return attempt < route->handling.attempts && (!rest || !rest->touched()) &&
+           (arriving || (client_ && !client_->has_gone()));
+}
+
 template <class Say>
 void Web::Exchange::end(Say say) noexcept {
     const auto client = std::exchange(client_, nullptr);
