An id is used up for as long as the settings let a request with it be open

Ids of requests were remembered for 4 s at least, whatever the settings: with a class whose clients wait for longer, an id could be taken again while its first request was open. The time is the longest wait of the settings (Site::longest_wait) now, with 4 s as the least; of several deployments at one listener the longest. The bound on their number stays: beyond 16,384 new ids within that time the oldest are forgotten earlier.

On a clock that the test sets, with 30 s: 409 for each repeat up to the end; 200 after 12 s without the mend. With 0.9 s: 409 for 4 s, forgotten after two times that.

--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -123,8 +123,9 @@
 
 }  // namespace
 
-bool Front::RecentIds::take(const std::string& id, Millis now) {
-    if (now - since_ > kIdMemory || now_.size() >= kMostIds) {
+bool Front::RecentIds::take(const std::string& id, Millis longest, Millis now) {
+    memory_ = std::max({memory_, longest, kIdMemory});
+    if (now - since_ > memory_ || now_.size() >= kMostIds) {
         before_.clear();
         before_.swap(now_);
         since_ = now;
@@ -410,7 +411,8 @@
         if (!arrival_)
             return answer(plain(message.method() == http::verb::get ? http::status::ok
                                                                     : http::status::method_not_allowed));
-        if (!front_.ids_.take(text(message["Request-Id"]), door_->now())) return reject(http::status::conflict);
+        if (!front_.ids_.take(text(message["Request-Id"]), site_->longest_wait, door_->now()))
+            return reject(http::status::conflict);
         const auto self = std::static_pointer_cast<Client>(shared_from_this());
         call_ = std::make_shared<Request>(self, std::move(message));
         phase_ = Phase::waiting;
--- a/src/http/front.hpp
+++ b/src/http/front.hpp
@@ -55,11 +55,13 @@
     class RecentIds {
     public:
         explicit RecentIds(Millis now) : since_(now) {}
-        bool take(const std::string& id, Millis now);  // false: it has been
+        // False: it has been. `longest`: what a request like this one may be open for.
+        bool take(const std::string& id, Millis longest, Millis now);
 
     private:
         std::unordered_set<std::string> now_, before_;
         Millis since_;
+        Millis memory_ = 0;  // the longest of all
     };
 
     Callbacks callbacks_;
