Who waited in the accept queue in silence is not waited for once more

A client that connected behind 2,000 silent connects at 256 descriptors waited 639 to 706 ms. Seen: each round of the 116 places lasted 40 ms, since the 25 ms that a silent connection has began with its accept and were looked at every 20 ms; 17 rounds. Ruled out: the accept itself (3,000 connects that go at once are over within 105 ms, other clients being served meanwhile). The kernel tells how long ago a connection came up or last brought something (TCP_INFO), so the time in the queue counts now, but for a moment of 5 ms, and the next look is when somebody's time is over.

On the http profile a client whose bytes lie unread is no longer closed for room within a head either, as on the platform's.

--- a/src/http/web.cpp
+++ b/src/http/web.cpp
@@ -235,8 +235,8 @@
         door_->rested();
     }
     bool spare() const override {
-        return phase_ == Phase::head ||
-               (phase_ == Phase::idle && pending_.empty() && unread() != error_code());
+        return (phase_ == Phase::head || (phase_ == Phase::idle && pending_.empty())) &&
+               unread() != error_code();
     }
     void out_of_time() override {
         if (phase_ == Phase::head || reading_body_) return spoilt(408);
--- a/src/limits/places.cpp
+++ b/src/limits/places.cpp
@@ -10,6 +10,8 @@
 
 // Who is silent has had time for a request: a usual client's first comes right behind its connecting.
 constexpr Millis kSilence = 25;
+// Of that, what is left at the least to who is accepted late: its request may be on its way all the same.
+constexpr Millis kMoment = 5;
 // Who idles is closed only after this (the protocol's 2 s), unless there is nobody else to close: a request
 // may be on its way.
 constexpr Millis kIdleness = 2000;
@@ -21,9 +23,9 @@
 
 }  // namespace
 
-void Places::connected(Id id, Millis now) {
+void Places::connected(Id id, Millis now, Millis silent_for) {
     Connection& c = open_[id];
-    c.since = now;
+    c.since = now - std::clamp(silent_for, 0.0, kSilence - kMoment);
     ++count(c);
 }
 
@@ -112,6 +114,14 @@
     return std::nullopt;
 }
 
+std::optional<Millis> Places::patience(Millis now) const {
+    std::optional<Millis> least;
+    for (const auto& [id, c] : open_)
+        if (const Millis left = kSilence - (now - c.since); c.state == State::silent && left > 0)
+            least = std::min(left, least.value_or(left));
+    return least;
+}
+
 Places::Stats Places::stats() const { return counts_; }
 
 }  // namespace whinledge
--- a/src/limits/places.hpp
+++ b/src/limits/places.hpp
@@ -20,7 +20,8 @@
     // `most` connections can be open at once, at least one.
     explicit Places(std::size_t most) : most_(most) {}
 
-    void connected(Id id, Millis now);
+    // `silent_for`: as long as nothing has come from it, in the queue of those to be accepted too.
+    void connected(Id id, Millis now, Millis silent_for = 0);
     // A whole request has come on it; `health`: for /_health.
     void asked(Id id, bool health, Millis now);
     // It has asked more than once: it stays, whatever waits.
@@ -43,6 +44,9 @@
     // None: whoever is next has to wait.
     std::optional<Id> least_worth(Millis now, const std::function<bool(Id)>& spare) const;
 
+    // Until somebody silent has had their time; none: nobody is waited for.
+    std::optional<Millis> patience(Millis now) const;
+
     struct Stats {
         std::size_t silent = 0, once = 0, health = 0, returning = 0;  // not at work, by what they have asked
     };
--- a/src/listen/door.cpp
+++ b/src/listen/door.cpp
@@ -6,6 +6,7 @@
 #include <sys/resource.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <utility>
 
@@ -19,7 +20,7 @@
 
 namespace {
 
-constexpr Millis kAcceptPause = 20;  // when there is no room, or no descriptor to be had
+constexpr Millis kAcceptPause = 20;  // at most, when there is no room, or no descriptor to be had
 constexpr Millis kSweep = 250;       // between looks at whose time is up, which this adds to their limits
 // How long the client's end is awaited after a last answer; longer where it may still be sending, or has not
 // got all of the answer.
@@ -95,6 +96,15 @@
     wait_readable();
 }
 
+// Since something came from it, or it connected: it may have waited to be accepted for long. Linux tells.
+Millis Door::Guest::silence() const {
+    tcp_info info{};
+    socklen_t size = sizeof info;
+    const int failed =
+        ::getsockopt(const_cast<Tcp::socket&>(socket_).native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size);
+    return failed ? 0 : info.tcpi_last_data_recv;
+}
+
 // Once for each wait, so that who sends at full speed is no more than one among all.
 void Door::Guest::discard() {
     error_code error;
@@ -194,30 +204,34 @@
     if (!make_room() || !enter()) return pause();
     insist([this] {
         auto awaited = std::make_shared<char>();
-        acceptor_.async_accept([this, alive = alive(), awaited](error_code failed, Tcp::socket socket) mutable {
-            if (alive.expired()) return;
-            awaited.reset();
-            entered_ = false;
-            if (failed && budget_.leave) budget_.leave();
-            try {
-                if (!failed) {
-                    const GuestPtr guest = accepted(std::move(socket));
-                    if (shut()) last_chance(guest);  // it came just as accepting ended
-                    return accept();
+        acceptor_.async_accept(
+            [this, alive = alive(), awaited](error_code failed, Tcp::socket socket) mutable {
+                if (alive.expired()) return;
+                awaited.reset();
+                entered_ = false;
+                if (failed && budget_.leave) budget_.leave();
+                try {
+                    if (!failed) {
+                        const GuestPtr guest = accepted(std::move(socket));
+                        if (shut()) last_chance(guest);  // it came just as accepting ended
+                        return accept();
+                    }
+                    if (failed == asio::error::no_descriptors && close_least(allowed_descriptors()))
+                        return;  // and accepts again
+                } catch (const std::exception& error) {
+                    log_(std::string("a connection was not taken: ") + error.what());
                 }
-                if (failed == asio::error::no_descriptors && close_least(allowed_descriptors()))
-                    return;  // and accepts again
-            } catch (const std::exception& error) {
-                log_(std::string("a connection was not taken: ") + error.what());
-            }
-            shut() ? end_drain() : pause();
-        });
+                shut() ? end_drain() : pause();
+            });
         accepting_ = awaited;
     });
 }
 
+// Where somebody silent is waited for, to the end of their time: a longer pause each time adds up over those
+// who wait behind them.
 void Door::pause() {
-    timer_.expires_after(span(kAcceptPause));
+    const Millis patience = places_.patience(steady_now()).value_or(kAcceptPause);
+    timer_.expires_after(span(std::min(kAcceptPause, patience)));
     insist([this] {
         timer_.async_wait([this, alive = alive()](error_code cancelled) {
             if (!cancelled && !alive.expired()) accept();
@@ -233,7 +247,7 @@
         if (budget_.leave) budget_.leave();
         throw;
     }
-    places_.connected(guest->place, steady_now());
+    places_.connected(guest->place, steady_now(), guest->silence());
     try {
         guests_.emplace(guest->place, guest);
         guest->welcome();
--- a/src/listen/door.hpp
+++ b/src/listen/door.hpp
@@ -77,6 +77,7 @@
 
     private:
         friend class Door;
+        Millis silence() const;
         bool undelivered();
         void linger_over(Clock::time_point now);
         void drop();
@@ -164,8 +165,8 @@
     Places::Id next_guest_ = 1;
     std::array<char, 16 * 1024> scratch_{};  // what is read, before it is a guest's own
     bool draining_ = false, hurried_ = false;
-    // A connection is awaited, or has come and waits in the loop's queue. It is the handler that holds it: the
-    // loop drops that one where memory is wanting for what has come, and the sweep accepts anew.
+    // A connection is awaited, or has come and waits in the loop's queue. It is the handler that holds it:
+    // the loop drops that one where memory is wanting for what has come, and the sweep accepts anew.
     std::weak_ptr<void> accepting_;
     bool entered_ = false;  // a descriptor has been asked for ahead
     // What waits in the loop's queue may come after the door's end, timers that have run out too.
--- a/tests/rig/child_rig.hpp
+++ b/tests/rig/child_rig.hpp
@@ -11,16 +11,14 @@
 #include <fstream>
 #include <iterator>
 
+#include "rig/free_port.hpp"
 #include "rig/net_rig.hpp"
 
 namespace whinledge::test {
 
 // Discovery that can be down: it stops listening and resets what is open, and comes back at the same address.
 struct FallibleDiscovery {
-    explicit FallibleDiscovery(asio::io_context& context) : io(context) {
-        Tcp::acceptor once(io, any_port);
-        address = once.local_endpoint();
-    }
+    explicit FallibleDiscovery(asio::io_context& context) : io(context), address(free_endpoint(io)) {}
     std::string text() const { return "127.0.0.1:" + std::to_string(address.port()); }
     void listen() {
         acceptor.emplace(io, address);
@@ -74,8 +72,9 @@
     asio::io_context io;
     ScriptedServer server{io, [](const auto&) { return Reply{response("200 OK", "served")}; }};
     FallibleDiscovery discovery{io};
-    Tcp::endpoint listens = Tcp::acceptor(io, any_port).local_endpoint();
+    Tcp::endpoint listens = free_endpoint(io);
     std::list<TestClient> clients;
+    std::vector<Listed> others;  // servers that it knows besides
     pid_t child = -1;
     std::filesystem::path folder =
         std::filesystem::temp_directory_path() / ("whinledge-child-" + std::to_string(::getpid()));
@@ -92,14 +91,22 @@
     }
 
     void configure(const std::string& sockets) {
+        std::vector<Listed> known{{"s-a", server.address()}};
+        known.insert(known.end(), others.begin(), others.end());
         std::ofstream(folder / "config.json")
-            << config_json(discovery.text(), list_json(41, true, {{"s-a", server.address()}}), sockets,
+            << config_json(discovery.text(), list_json(41, true, known), sockets,
                            "127.0.0.1:" + std::to_string(listens.port()));
     }
     // Returns once it listens. It has no descriptor of the test's.
     void start(const std::string& sockets, rlim_t descriptors) {
         configure(sockets);
+        launch({}, descriptors);
+    }
+    void launch(const std::vector<std::string>& arguments, rlim_t descriptors) {
         const std::string config = folder / "config.json", log = folder / "log";
+        std::vector<char*> words{const_cast<char*>(WHINLEDGE)};
+        for (const std::string& word : arguments) words.push_back(const_cast<char*>(word.c_str()));
+        words.push_back(nullptr);
         child = ::fork();
         if (child == 0) {
             ::setenv("LB_CONFIG", config.c_str(), 1);
@@ -108,7 +115,7 @@
             ::close_range(3, ~0U, 0);
             const rlimit limit{descriptors, descriptors};
             if (::setrlimit(RLIMIT_NOFILE, &limit) != 0) ::_exit(125);
-            ::execl(WHINLEDGE, WHINLEDGE, static_cast<char*>(nullptr));
+            ::execv(WHINLEDGE, words.data());
             ::_exit(127);
         }
         until([&] {
@@ -139,6 +146,10 @@
         EXPECT_EQ(::prlimit(child, RLIMIT_NOFILE, &limit, nullptr), 0);
         return highest + 1 - descriptors();
     }
+    std::string log() const {
+        std::ifstream file(folder / "log");
+        return std::string(std::istreambuf_iterator<char>(file), {});
+    }
     // The most memory that it has held, in KiB.
     std::size_t peak_memory() const {
         std::ifstream status("/proc/" + std::to_string(child) + "/status");
--- a/tests/unit/places_test.cpp
+++ b/tests/unit/places_test.cpp
@@ -43,6 +43,28 @@
     EXPECT_TRUE(ask(connect(), true));
 }
 
+// Time in the queue counts, but for a moment: a request may be on its way.
+TEST_F(PlacesTest, WhoWasSilentInTheQueueHasAMomentLeft) {
+    places.connected(1, now, 1000);
+    places.connected(2, now, 10);
+    places.connected(3, now);
+    now += 4;
+    EXPECT_FALSE(least());
+    EXPECT_DOUBLE_EQ(places.patience(now).value(), 1);
+    now += 1;
+    EXPECT_EQ(least(), 1u);
+    places.closed(1);
+    EXPECT_FALSE(least());
+    EXPECT_DOUBLE_EQ(places.patience(now).value(), 10);
+    now += 10;
+    EXPECT_EQ(least(), 2u);
+    places.closed(2);
+    EXPECT_DOUBLE_EQ(places.patience(now).value(), 10);
+    now += 10;
+    EXPECT_EQ(least(), 3u);
+    EXPECT_FALSE(places.patience(now));
+}
+
 TEST_F(PlacesTest, WhoAsksOnceHoldsAPartAtMost) {
     int kept = 0;
     for (int i = 0; i < 10; ++i) {
