A connect that finds no descriptor lets go an idle client and is tried again

An accept that failed with EMFILE let go an idle client, the connects to servers and discovery did not: with idle clients on all descriptors one of five requests at once had a connection, and discovery's return was not heard. `open_socket` (io) asks whoever holds idle connections (`Door::let_go`) before a connect fails; the socket is opened within the same call, so nothing is lost and nothing is tried twice. Nobody idles: as before.

`process.descriptors` is held to the process's own limit as the platform's setting is (`own_limit.hpp`), and the log says so; before, idle clients had all 96 of 96 and SIGHUP could not read the file. A configuration that can't be opened is told with its cause; the next SIGHUP is taken.

LDAP's connects to servers let nobody go yet.

--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -7,6 +7,7 @@
 #include <stdexcept>
 #include <utility>
 
+#include "app/own_limit.hpp"
 #include "config/diff.hpp"
 #include "discovery/file_source.hpp"
 #include "discovery/platform.hpp"
@@ -61,17 +62,15 @@
     return std::make_shared<const Routing>(std::move(routing));
 }
 
-std::size_t descriptors_for_use(std::size_t total) {
-    return total > 2 * kOtherDescriptors ? total - kOtherDescriptors : total;
-}
-
 // The platform's discovery, for one pool.
 class PlatformSource final : public MemberSource {
 public:
-    PlatformSource(asio::io_context& io, Log& log, const Tcp::endpoint& address, Callbacks callbacks)
-        : discovery_(io, log, address, 0, true,
-                     {[changed = callbacks.changed](MemberList list) { changed(std::move(list)); },
-                      [failed = callbacks.failed] { failed("discovery does not answer"); }}) {}
+    PlatformSource(asio::io_context& io, Log& log, const Tcp::endpoint& address, Callbacks callbacks,
+                   LetGo let_go)
+        : discovery_(
+              io, log, address, 0, true,
+              {[changed = callbacks.changed](MemberList list) { changed(std::move(list)); },
+               [failed = callbacks.failed] { failed("discovery does not answer"); }, std::move(let_go)}) {}
     void start() override { discovery_.watch(true); }
     void watch(bool active) override { discovery_.watch(active); }
     void fetch() override { discovery_.fetch(); }
@@ -104,19 +103,27 @@
     limits::Hold hold_;
 };
 
+// Of what the file tells, or of what the process's own limit leaves: some are for what is no connection.
+std::size_t Daemon::for_connections(std::size_t told) const {
+    const std::size_t use = told > 2 * kOtherDescriptors ? told - kOtherDescriptors : told;
+    return std::min(use, std::max<std::size_t>(8, allowed_));
+}
+
 Daemon::Daemon(asio::io_context& io, config::Services services, Options options)
-    : io_(io),
+    : allowed_(descriptors_left(kOtherDescriptors)),
+      io_(io),
       options_(std::move(options)),
       log_(options_.log ? *options_.log : own_log_),
-      descriptors_(services.descriptors,
+      descriptors_(for_connections(services.descriptors),
                    [this](PoolId pool, std::size_t count) {
                        const std::size_t closed = transport_.upstream().close_idle_of(pool, count);
                        if (directory_ && closed < count) directory_->close_idle_of(pool, count - closed);
                    }),
       gate_(services.requests, services.bytes),
       wake_(io, clock_, [this] { engine_.run_due(); }),
-      transport_(io, log_, {250, 14000, services.descriptors, kSettle, kSettleCareful, kDoubt},
-                 &descriptors_),
+      transport_(io, log_,
+                 {250, 14000, for_connections(services.descriptors), kSettle, kSettleCareful, kDoubt},
+                 &descriptors_, [this] { return let_go(); }),
       directory_(
           make_directory(io, log_, descriptors_,
                          [this](MachineId machine) { engine_.notice(machine, options_.notice_hold); })),
@@ -128,7 +135,7 @@
 }
 
 Daemon::~Daemon() {
-    entrances_.clear();
+    std::exchange(entrances_, {}).clear();  // whom a client leaves behind may ask for a descriptor
     leaving_.clear();
     services_.clear();
 }
@@ -173,7 +180,7 @@
                 fresh.emplace(pool.name, start(pool, plan.get()));
         for (std::size_t i = 0; i < services.listeners.size(); ++i)
             if (const auto& l = services.listeners[i]; is_new(change_of(difference.listeners, l.name)))
-                opened.emplace(l.name, open(l, i, services.descriptors, plan.get()));
+                opened.emplace(l.name, open(l, i, for_connections(services.descriptors), plan.get()));
         bounds = bound(services, fresh);
     } catch (...) {
         for (auto& [name, service] : fresh) remove(service);
@@ -312,7 +319,7 @@
             return std::make_unique<FileSource>(io_, FileSettings{from.path}, std::move(callbacks));
         case Kind::platform:
             return std::make_unique<PlatformSource>(io_, log_, endpoint_of<Tcp>(from.address),
-                                                    std::move(callbacks));
+                                                    std::move(callbacks), [this] { return let_go(); });
         case Kind::dns:
             break;
     }
@@ -326,6 +333,12 @@
 #endif
 }
 
+// For the descriptor of a connect that wants one.
+bool Daemon::let_go() {
+    return std::any_of(entrances_.begin(), entrances_.end(),
+                       [](const auto& e) { return e.second->listener->door().let_go(); });
+}
+
 // Where another listener is at that address, which a reload replaces, its socket: nobody is turned away
 // meanwhile.
 Door::Listen Daemon::listen_at(const Tcp::endpoint& address) const {
@@ -420,10 +433,13 @@
         descriptors.push_back(bound_of(p.limits.descriptors));
         servers.push_back({pool.id(), descriptors.back(), p.limits.connects.most});
     }
-    const std::size_t total = descriptors_for_use(services.descriptors);
+    const std::size_t total = for_connections(services.descriptors);
     if (limits::Shares::check(total, descriptors) != limits::Fault::none)
         throw std::runtime_error("process.descriptors: the guarantees don't fit into " +
                                  std::to_string(total));
+    if (services.descriptors > total + kOtherDescriptors)
+        log_.line("process.descriptors: " + std::to_string(services.descriptors) +
+                  " are told; the process's own limit leaves " + std::to_string(total) + " for connections");
     Bounds bounds;
     gate_.at(clock_.now());
     if (gate_.reload(services.requests, services.bytes, listeners, pools, bounds))
--- a/src/app/daemon.hpp
+++ b/src/app/daemon.hpp
@@ -107,7 +107,10 @@
     std::optional<Front::Place> place(const Entrance& entrance,
                                       const boost::beast::http::request_header<>& head);
     std::uint64_t random();
+    std::size_t for_connections(std::size_t told) const;
+    bool let_go();
 
+    const std::size_t allowed_;  // descriptors, by the process's own limit as it starts
     boost::asio::io_context& io_;
     Options options_;
     Log own_log_;
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -2,6 +2,7 @@
 // services, told by a file (--config FILE).
 #include <CLI/CLI.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <cerrno>
 #include <cstdlib>
 #include <exception>
 #include <fstream>
@@ -9,6 +10,7 @@
 #include <iostream>
 #include <iterator>
 #include <string>
+#include <system_error>
 
 #include "app/ask.hpp"
 #include "app/config.hpp"
@@ -33,7 +35,9 @@
     const char* const path = std::getenv("LB_CONFIG");
     if (!path) throw ConfigError("'LB_CONFIG' is not set");
     std::ifstream file(path, std::ios::binary);
-    if (!file) throw ConfigError("'LB_CONFIG' names a file that can't be read: " + std::string(path));
+    if (!file)
+        throw ConfigError("'LB_CONFIG' names a file that can't be read: " + std::string(path) + ": " +
+                          std::generic_category().message(errno));
     return whinledge::read_config(std::string(std::istreambuf_iterator<char>(file), {}));
 }
 
--- a/src/app/sidecar.cpp
+++ b/src/app/sidecar.cpp
@@ -1,12 +1,10 @@
 #include "app/sidecar.hpp"
 
-#include <sys/resource.h>
-
 #include <algorithm>
-#include <filesystem>
-#include <system_error>
 #include <utility>
 
+#include "app/own_limit.hpp"
+
 namespace whinledge {
 
 namespace asio = boost::asio;
@@ -19,24 +17,9 @@
 // The same beside what is open already as the sidecar is made.
 constexpr std::size_t kToCome = 16;
 
-std::size_t less(std::size_t from, std::size_t what) { return from - std::min(from, what); }
-
-std::size_t open_descriptors() {
-    std::error_code failed;
-    std::size_t count = 0;
-    for (std::filesystem::directory_iterator at("/proc/self/fd", failed), end; !failed && at != end;
-         at.increment(failed))
-        ++count;
-    return failed ? kOtherSockets - kToCome : count;
-}
-
-// What the process is told that it may hold, or what its own limit leaves: whatever is beyond that would be
-// had by idle clients, and wanting to discovery and to servers.
+// What the process is told that it may hold, or what its own limit leaves.
 std::size_t half(std::size_t sockets) {
-    std::size_t left = less(sockets, kOtherSockets);
-    rlimit limit{};
-    if (::getrlimit(RLIMIT_NOFILE, &limit) == 0 && limit.rlim_cur != RLIM_INFINITY)
-        left = std::min(left, less(limit.rlim_cur, open_descriptors() + kToCome));
+    const std::size_t left = std::min(less(sockets, kOtherSockets), descriptors_left(kToCome));
     return std::max<std::size_t>(8, left) / 2;
 }
 
@@ -67,7 +50,8 @@
       wake_(io, clock_, [this] { engine_.run_due(); }),
       transport_(io, log_,
                  {config_.connect_timeout, config_.idle_close * (1 - kIdleMargin), half(config_.sockets),
-                  kSettle, kSettleCareful, kDoubt}),
+                  kSettle, kSettleCareful, kDoubt},
+                 nullptr, [this] { return front_ && front_->door().let_go(); }),
       engine_(clock_,
               {[this](Millis at) { wake_.at(at); }, [this](const std::string& line) { log_.line(line); }}),
       pool_(
@@ -81,7 +65,8 @@
     const bool asked = config_.site.settings.list_on_request;
     discovery_.emplace(io, log_, config_.discovery, config_.known.version, !asked,
                        Discovery::Callbacks{[this](const MemberList& list) { pool_->members(list); },
-                                            [this] { pool_->members_failed(); }});
+                                            [this] { pool_->members_failed(); },
+                                            [this] { return front_ && front_->door().let_go(); }});
     if (config_.may_tell && config_.peer_listen)
         peers_.emplace(io, log_, *config_.peer_listen, config_.peers, config_.peers_all,
                        [this](std::uint32_t from, std::vector<std::uint8_t> bytes) {
--- a/src/discovery/platform.cpp
+++ b/src/discovery/platform.cpp
@@ -30,8 +30,13 @@
 // One connection to discovery, and the one call that is out on it.
 class Discovery::Call : public std::enable_shared_from_this<Call> {
 public:
-    Call(asio::io_context& io, const Tcp::endpoint& address, const Limits& limits)
-        : address_(address), limits_(limits), socket_(io), timer_(io), buffer_(kUnparsedLimit) {}
+    Call(asio::io_context& io, const Tcp::endpoint& address, const Limits& limits, LetGo let_go)
+        : address_(address),
+          limits_(limits),
+          let_go_(std::move(let_go)),
+          socket_(io),
+          timer_(io),
+          buffer_(kUnparsedLimit) {}
 
     using Done = std::function<void(bool answered, const std::string& body)>;
     // The answer is due `hold` later.
@@ -44,6 +49,7 @@
                      address_.address().to_string() + ":" + std::to_string(address_.port()));
         if (socket_.is_open()) return write();
         give(limits_.connect, false);
+        open_socket(socket_, address_.protocol(), let_go_);  // without it the connect fails
         socket_.async_connect(address_, [self = shared_from_this()](error_code failed) {
             if (failed || !self->out()) return self->end(false);
             error_code ignored;
@@ -116,6 +122,7 @@
 
     Tcp::endpoint address_;
     const Limits& limits_;
+    const LetGo let_go_;
     Millis hold_ = 0;
     Tcp::socket socket_;
     asio::steady_timer timer_;
@@ -152,7 +159,7 @@
 void Discovery::begin() {
     pause_ = nullptr;
     look();
-    if (!watch_) watch_ = std::make_shared<Call>(io_, address_, limits_);
+    if (!watch_) watch_ = std::make_shared<Call>(io_, address_, limits_, callbacks_.let_go);
     const Asked asked{version_, !compares_};
     // Silence is no sign of a fault while a call holds. So where nobody has answered yet, or not lately, the
     // call holds for nothing: one that is lost, as with an agent that is down, is soon replaced.
@@ -188,7 +195,7 @@
 
 void Discovery::fetch() {
     if (fetch_ && fetch_->out()) return;
-    fetch_ = std::make_shared<Call>(io_, address_, limits_);
+    fetch_ = std::make_shared<Call>(io_, address_, limits_, callbacks_.let_go);
     fetch_->get("/catalog/members", 0,
                 [this, asked = Asked{version_, true}](bool answered, const std::string& body) {
                     fetched(asked, answered, body);
--- a/src/discovery/platform.hpp
+++ b/src/discovery/platform.hpp
@@ -9,11 +9,12 @@
 #include <optional>
 #include <string>
 
+#include "discovery/pace.hpp"
 #include "engine/members.hpp"
 #include "io/address.hpp"
-#include "discovery/pace.hpp"
 #include "io/clock.hpp"
 #include "io/log.hpp"
+#include "io/open_socket.hpp"
 
 namespace whinledge {
 
@@ -21,7 +22,8 @@
 public:
     struct Callbacks {
         std::function<void(MemberList)> changed;  // with no change in it where `failed` is over
-        std::function<void()> failed;  // only where the watch does not go on by itself
+        std::function<void()> failed;             // only where the watch does not go on by itself
+        LetGo let_go{};                           // for a descriptor
     };
 
     // docs/design/discovery.md sums up from these how late a change is known at the worst.
--- a/src/http/transport.hpp
+++ b/src/http/transport.hpp
@@ -5,6 +5,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <string>
 #include <unordered_map>
+#include <utility>
 
 #include "engine/transport.hpp"
 #include "http/upstream.hpp"
@@ -15,8 +16,8 @@
 class HttpTransport final : public Transport {
 public:
     HttpTransport(boost::asio::io_context& io, Log& log, Upstream::Limits limits,
-                  ConnectionBudget* budget = nullptr)
-        : io_(io), upstream_(io, log, limits, budget) {}
+                  ConnectionBudget* budget = nullptr, LetGo let_go = {})
+        : io_(io), upstream_(io, log, limits, budget, std::move(let_go)) {}
 
     void set_machine(MachineId machine, const std::string& address, Millis started) override;
     void forget_machine(MachineId machine) override { upstream_.forget_server(machine); }
--- a/src/http/upstream.cpp
+++ b/src/http/upstream.cpp
@@ -59,7 +59,8 @@
             const auto self = weak.lock();
             if (!cancelled && self && !self->connected_) self->fail(Outcome::refused_connection);
         });
-        socket_.open(address.protocol());  // throws where descriptors are wanting
+        if (const error_code failed = open_socket(socket_, address.protocol(), owner_->let_go_))
+            throw boost::system::system_error(failed);
         ++owner_->stats_.opened;
         socket_.async_connect(address, [self = shared_from_this()](error_code failed) {
             if (failed || !self->exchange_)
@@ -543,8 +544,8 @@
     bool paused_ = false;   // whoever takes the answer has enough for now
 };
 
-Upstream::Upstream(asio::io_context& io, Log& log, Limits limits, ConnectionBudget* budget)
-    : io_(io), log_(log), limits_(limits), budget_(budget), sweep_timer_(io) {
+Upstream::Upstream(asio::io_context& io, Log& log, Limits limits, ConnectionBudget* budget, LetGo let_go)
+    : io_(io), log_(log), limits_(limits), budget_(budget), let_go_(std::move(let_go)), sweep_timer_(io) {
     sweep();
 }
 
--- a/src/http/upstream.hpp
+++ b/src/http/upstream.hpp
@@ -22,6 +22,7 @@
 #include "io/address.hpp"
 #include "io/connection_budget.hpp"
 #include "io/log.hpp"
+#include "io/open_socket.hpp"
 
 namespace whinledge {
 
@@ -87,7 +88,9 @@
             0;  // after a connection to a server broke on reuse, what is careful goes there on fresh ones
     };
 
-    Upstream(boost::asio::io_context& io, Log& log, Limits limits, ConnectionBudget* budget = nullptr);
+    // `let_go`: for a connection's descriptor, where none is left.
+    Upstream(boost::asio::io_context& io, Log& log, Limits limits, ConnectionBudget* budget = nullptr,
+             LetGo let_go = {});
     ~Upstream();
 
     // Where the server listens; connections to another address, or to an earlier life, are not used again.
@@ -142,6 +145,7 @@
     Log& log_;
     Limits limits_;
     ConnectionBudget* budget_;
+    const LetGo let_go_;
     std::unordered_map<ServerId, Server> servers_;
     std::unordered_map<ExchangeId, ConnectionPtr> exchanges_;
     ExchangeId next_exchange_ = 1;
--- a/src/listen/door.cpp
+++ b/src/listen/door.cpp
@@ -28,11 +28,6 @@
 constexpr int kLastReads = 8;   // of what a client has sent, ahead of its connection's close
 constexpr Millis kHaste = 500;  // of a drain in haste, for answers to be taken
 
-std::size_t allowed_descriptors() {
-    rlimit limit{};
-    return ::getrlimit(RLIMIT_NOFILE, &limit) == 0 ? limit.rlim_cur : Door::kAny;
-}
-
 }  // namespace
 
 // ---- A guest
@@ -144,6 +139,11 @@
 // ---- The door
 // ---------------------------------------------------------------------------------------------------
 
+std::size_t Door::allowed_descriptors() {
+    rlimit limit{};
+    return ::getrlimit(RLIMIT_NOFILE, &limit) == 0 ? limit.rlim_cur : kAny;
+}
+
 Door::Tcp::acceptor Door::listening(asio::io_context& io, const Listen& listen) {
     if (!listen.predecessor) return {io, listen.address, true};
     const int shared = ::dup(const_cast<Tcp::acceptor&>(listen.predecessor->acceptor_).native_handle());
@@ -216,8 +216,7 @@
                         if (shut()) last_chance(guest);  // it came just as accepting ended
                         return accept();
                     }
-                    if (failed == asio::error::no_descriptors && close_least(allowed_descriptors()))
-                        return;  // and accepts again
+                    if (failed == asio::error::no_descriptors && let_go()) return;  // and accepts again
                 } catch (const std::exception& error) {
                     log_(std::string("a connection was not taken: ") + error.what());
                 }
--- a/src/listen/door.hpp
+++ b/src/listen/door.hpp
@@ -123,6 +123,8 @@
     std::size_t queued() const;
     boost::asio::io_context& io() { return io_; }
 
+    // Who is worth least of those that can be spared is closed, for their descriptor. False: nobody can be.
+    bool let_go() { return close_least(allowed_descriptors()); }
     // A guest may make room now.
     void rested();
 
@@ -136,6 +138,7 @@
     bool shut() const { return !acceptor_.is_open(); }
 
 private:
+    static std::size_t allowed_descriptors();
     static Tcp::acceptor listening(boost::asio::io_context& io, const Listen& listen);
     void shut_acceptor();
     void accept();
