--- a/tests/integration/hostile_test.cpp
+++ b/tests/integration/hostile_test.cpp
@@ -83,6 +83,25 @@
     EXPECT_LE(a.requests.size() + b.requests.size(), 1u) << "an unsafe request has run twice";
 }
 
+// Places are wanted while the rest of a head lies unread: it is read first.
+TEST_F(Hostile, WhoseHeadIsWholeIsNotLetGoUnread) {
+    start("[process]\ndescriptors = 64\n" + listener("limits.descriptors = { most = 4 }\n") +
+          pool("archive", {a.address()}) + route("archive", "/", "pool = \"archive\"", "timeout = \"2s\""));
+    const std::string head = get("/item", "X: " + std::string(100, 'x') + "\r\n");
+    for (int i = 0; i < 3; ++i) client().send(head.substr(0, 50));
+    rest(60);  // beyond the time that the silent have
+    client();  // is accepted first
+    for (TestClient& c : clients) c.send(&c == &clients.back() ? head : head.substr(50));
+    until([&] {
+        return std::all_of(clients.begin(), clients.end(),
+                           [](const TestClient& c) { return c.ended || !c.answers.empty(); });
+    });
+    for (const TestClient& c : clients) {
+        ASSERT_EQ(c.answers.size(), 1u);
+        EXPECT_EQ(c.answers[0].result_int(), 200u);
+    }
+}
+
 TEST_F(Hostile, AnIdleConnectionThatMakesRoomIsNotUsedMeanwhile) {
     std::optional<Upstream> upstream;
     Descriptors books(1, [&](PoolId pool, std::size_t count) { upstream->close_idle_of(pool, count); });
