--- a/src/listen/door.cpp
+++ b/src/listen/door.cpp
@@ -6,6 +6,7 @@
 #include <sys/resource.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <chrono>
 #include <utility>
@@ -20,7 +21,7 @@
 
 namespace {
 
-constexpr Millis kAcceptPause = 20;  // when there is no room, or no descriptor to be had
+constexpr Millis kAcceptPause = 20;  // at most, when there is no room, or no descriptor to be had
 constexpr Millis kSweep = 250;       // between looks at whose time is up, which this adds to their limits
 // How long the client's end is awaited after a last answer; longer where it may still be sending, or has not
 // got all of the answer.
@@ -29,11 +30,6 @@
 constexpr int kLastReads = 8;                  // of what a client has sent, ahead of its connection's close
 constexpr Millis kHaste = 500;                 // of a drain in haste, for answers to be taken
 
-std::size_t allowed_descriptors() {
-    rlimit limit{};
-    return ::getrlimit(RLIMIT_NOFILE, &limit) == 0 ? limit.rlim_cur : Door::kAny;
-}
-
 class SteadyTime final : public TimeSource {
 public:
     Millis now() const override {
@@ -122,6 +118,15 @@
     wait_readable();
 }
 
+// Since something came from it, or it connected: it may have waited to be accepted for long. Linux tells.
+Millis Door::Guest::silence() const {
+    tcp_info info{};
+    socklen_t size = sizeof info;
+    const int failed =
+        ::getsockopt(const_cast<Tcp::socket&>(socket_).native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size);
+    return failed ? 0 : info.tcpi_last_data_recv;
+}
+
 // Once for each wait, so that who sends at full speed is no more than one among all.
 void Door::Guest::discard() {
     error_code error;
@@ -161,6 +166,11 @@
 // ---- The door
 // ---------------------------------------------------------------------------------------------------
 
+std::size_t Door::allowed_descriptors() {
+    rlimit limit{};
+    return ::getrlimit(RLIMIT_NOFILE, &limit) == 0 ? limit.rlim_cur : kAny;
+}
+
 Door::Tcp::acceptor Door::listening(asio::io_context& io, const Listen& listen) {
     if (!listen.predecessor) return {io, listen.address, true};
     const int shared = ::dup(const_cast<Tcp::acceptor&>(listen.predecessor->acceptor_).native_handle());
@@ -240,8 +250,7 @@
                         if (shut()) last_chance(guest);  // it came just as accepting ended
                         return accept();
                     }
-                    if (failed == asio::error::no_descriptors && close_least(allowed_descriptors()))
-                        return;  // and accepts again
+                    if (failed == asio::error::no_descriptors && let_go()) return;  // and accepts again
                 } catch (const std::exception& error) {
                     log_(std::string("a connection was not taken: ") + error.what());
                 }
@@ -251,8 +260,11 @@
     });
 }
 
+// Where somebody silent is waited for, to the end of their time: a longer pause each time adds up over those
+// who wait behind them.
 void Door::pause() {
-    timer_.expires_after(span(kAcceptPause));
+    const Millis patience = places_.patience(now()).value_or(kAcceptPause);
+    timer_.expires_after(span(std::min(kAcceptPause, patience)));
     insist([this] {
         timer_.async_wait([this, alive = alive()](error_code cancelled) {
             if (!cancelled && !alive.expired()) accept();
@@ -268,7 +280,7 @@
         if (budget_.leave) budget_.leave();
         throw;
     }
-    places_.connected(guest->place, now());
+    places_.connected(guest->place, now(), guest->silence());
     try {
         guests_.emplace(guest->place, guest);
         guest->welcome();
--- a/src/listen/door.hpp
+++ b/src/listen/door.hpp
@@ -83,6 +83,7 @@
 
     private:
         friend class Door;
+        Millis silence() const;
         bool undelivered();
         void linger_over(Millis now);
         void drop();
@@ -132,6 +133,8 @@
     Millis now() const { return clock_.now(); }
     static const TimeSource& steady();
 
+    // Who is worth least of those that can be spared is closed, for their descriptor. False: nobody can be.
+    bool let_go() { return close_least(allowed_descriptors()); }
     // A guest may make room now.
     void rested();
 
@@ -145,6 +148,7 @@
     bool shut() const { return !acceptor_.is_open(); }
 
 private:
+    static std::size_t allowed_descriptors();
     static Tcp::acceptor listening(boost::asio::io_context& io, const Listen& listen);
     void shut_acceptor();
     void accept();
