A request of less than one and a half means costs a cold server's bucket one token

Classes of 0.7 to 1.3 means cost more than one token on the mean, as none cost less. So a request up to 1.5 means costs one, as it did.

--- a/src/policy/balance.cpp
+++ b/src/policy/balance.cpp
@@ -934,7 +934,7 @@
             readmit(s);
             s.standing = Standing::trial;
         }
-        if (cold) s.tokens -= std::clamp(r.work, 1.0, kHeaviest);
+        if (cold) s.tokens -= r.work > kHeavy ? std::min(r.work, kHeaviest) : 1;
         if (!r.attempts.empty()) retry_budget -= 1;
         ++s.outstanding;
         use(s);
