A class whose answers took no time at all has the mean's work

Seen: EngineRig.AColdMachineOfTwoPoolsIsFedOnce got nothing to its cold server (0 of more than 5 wanted): its clock gives answers of 0 ms, 0 / 0 is no number, and nothing compares with that, so that every request passed for a heavy one. Now a mean of 0 ms tells nothing, and a request counts as one.

--- a/src/policy/balance.cpp
+++ b/src/policy/balance.cpp
@@ -278,7 +278,7 @@
             return hint / hinted.value();
         }
         const auto own = lasted_by_class.find(r.class_index);
-        if (own == lasted_by_class.end() || own->second.count.value < 1) return 1;
+        if (own == lasted_by_class.end() || own->second.count.value < 1 || lasted.sum.value <= 0) return 1;
         return own->second.value() / lasted.value();
     }
     // Where N is small, one heavy request is much of what chance may add.
