A late answer of a slow discovery is heard, beside the call that follows it

Need: a service whose answers begin later than the patience (800 ms asked, 250 ms an agent) was never heard, as each call was closed when it was given up. A longer patience does not fit into the 6 s: from a silent watch on the sum asked is 5025 ms already.

Change: a call that holds for nothing and of whose answer nothing has come within the patience is given up as before, and lingers beside the next ones, 2 s in all, one at most. What it brings is news. A good answer to a newer call makes it void, since it may know less than that one. No more calls are made.

Worst of a slow service by the formula (docs/design/discovery.md, computed in WatchLimits.TheWorstCaseLeavesRoom): 4850 ms pushed, 5500 ms asked for a change just behind the lingering call, 5525 ms asked from a silent watch and a lost connect, 3450 ms asked after SIGHUP. Beyond 2 s to the first byte it is not heard in time: 2 (L + R) + B has to stay below 6 s.

--- a/src/discovery/platform.cpp
+++ b/src/discovery/platform.cpp
@@ -38,6 +38,8 @@
     void get(const std::string& target, Millis hold, Done done) {
         done_ = std::move(done);
         hold_ = hold;
+        may_linger_ = hold <= 0;
+        silent_ = false;
         parser_.reset();
         request_ = {http::verb::get, target, 11};
         request_.set(http::field::host,
@@ -53,6 +55,14 @@
         });
     }
     bool out() const { return done_ != nullptr; }
+    // It was given up as nothing of an answer had come, and may linger.
+    bool silent() const { return silent_; }
+    // Waits on for the answer.
+    void linger(Done done) {
+        done_ = std::move(done);
+        silent_ = false;
+        give(limits_.late - limits_.patience, true);
+    }
 
     // What has come behind the last answer.
     enum class Idle { nothing, bytes, end };
@@ -79,6 +89,7 @@
             // One that was under way when its time was over otherwise is not for what came next.
             if (self->timer_.expiry() > asio::steady_timer::clock_type::now()) return;
             if (more && self->has_begun()) return self->give(self->limits_.rest, false);
+            self->silent_ = more && std::exchange(self->may_linger_, false);
             self->end(false);
         });
     }
@@ -110,13 +121,14 @@
         const Done done = std::exchange(done_, nullptr);
         if (!done) return;
         timer_.cancel();
-        if (!answered || !parser_->keep_alive()) drop();
+        if (!silent_ && (!answered || !parser_->keep_alive())) drop();
         done(answered, answered ? parser_->get().body() : std::string());
     }
 
     Tcp::endpoint address_;
     const Limits& limits_;
     Millis hold_ = 0;
+    bool may_linger_ = false, silent_ = false;
     Tcp::socket socket_;
     asio::steady_timer timer_;
     http::request<http::empty_body> request_;
@@ -138,6 +150,7 @@
 
 Discovery::~Discovery() {
     end_watch();
+    end_late();
     if (fetch_) fetch_->close();
 }
 
@@ -146,7 +159,8 @@
     pause_ = nullptr;
     timer_.cancel();
     end_watch();
-    if (active) begin();
+    if (!active) return end_late();
+    begin();
 }
 
 void Discovery::begin() {
@@ -179,6 +193,7 @@
     address_ = address;
     compares_ = false;
     heard_ = false;
+    end_late();
     if (active_) watch(true);
     if (fetch_ && fetch_->out()) {
         fetch_->close();
@@ -206,6 +221,9 @@
     const std::optional<MemberList> list = read(asked, answered, body);
     const std::uint64_t before = version_;
     const bool believed = list && take(asked, *list);
+    // A newer call has told what the late one could, or more.
+    if (list) end_late();
+    if (!list) linger(asked);
     if (!list) end_watch();
     look();
     const bool back = !std::exchange(heard_, list.has_value()) && !persistent_;
@@ -217,6 +235,21 @@
     if (believed && (back || list->full || !list->members.empty())) callbacks_.changed(*list);
 }
 
+// A call that a slow discovery has not answered in its time is left out beside the next ones, one at most:
+// what it brings is news, and no reason to call sooner.
+void Discovery::linger(const Asked& asked) {
+    if (!watch_ || !watch_->silent() || late_) return;
+    late_ = std::exchange(watch_, nullptr);
+    late_->linger([this, asked](bool answered, const std::string& body) {
+        end_late();
+        std::optional<MemberList> list = read(asked, answered, body);
+        // One that goes back is left to the next call, which finds it out.
+        if (!list || (!list->full && list->version < asked.version)) return;
+        if (take(asked, *list) && (list->full || !list->members.empty()))
+            callbacks_.changed(std::move(*list));
+    });
+}
+
 // What an answer says, if it can be read and is what was asked for.
 std::optional<MemberList> Discovery::read(const Asked& asked, bool answered, const std::string& body) {
     std::string why = "no answer";
@@ -256,6 +289,7 @@
 void Discovery::distrust(const char* why) {
     compares_ = false;
     end_watch();
+    end_late();
     log_once(why);
 }
 
@@ -264,6 +298,11 @@
     watch_ = nullptr;
 }
 
+void Discovery::end_late() {
+    if (late_) late_->close();
+    late_ = nullptr;
+}
+
 // Until there is a good answer again.
 void Discovery::log_once(const std::string& why) {
     if (!std::exchange(told_, true)) log_.line("discovery: " + why);
--- a/src/discovery/platform.hpp
+++ b/src/discovery/platform.hpp
@@ -9,9 +9,9 @@
 #include <optional>
 #include <string>
 
+#include "discovery/pace.hpp"
 #include "engine/members.hpp"
 #include "io/address.hpp"
-#include "discovery/pace.hpp"
 #include "io/clock.hpp"
 #include "io/log.hpp"
 
@@ -21,7 +21,7 @@
 public:
     struct Callbacks {
         std::function<void(MemberList)> changed;  // with no change in it where `failed` is over
-        std::function<void()> failed;  // only where the watch does not go on by itself
+        std::function<void()> failed;             // only where the watch does not go on by itself
     };
 
     // docs/design/discovery.md sums up from these how late a change is known at the worst.
@@ -30,9 +30,10 @@
         Millis patience;  // with a call that says nothing, beyond that
         Millis rest;      // for an answer that has begun when the patience is over
         Millis connect;
+        Millis late;  // instead of the patience, for one call beside those that follow it
     };
     // An agent beside us answers at once and costs nothing; one service for all is asked more rarely.
-    static constexpr Limits kPushed{1000, 250, 300, 250}, kAsked{2000, 800, 300, 250};
+    static constexpr Limits kPushed{1000, 250, 300, 250, 2000}, kAsked{2000, 800, 300, 250, 2000};
 
     // `persistent`: a watch that fails is begun again by itself, as is right with an agent (kPushed); else
     // whoever wants it asks for it anew (kAsked).
@@ -59,7 +60,9 @@
     bool take(const Asked& asked, const MemberList& list);
     void look();
     void distrust(const char* why);
+    void linger(const Asked& asked);
     void end_watch();
+    void end_late();
     void log_once(const std::string& why);
 
     boost::asio::io_context& io_;
@@ -73,7 +76,7 @@
     CallPace pace_;
     boost::asio::steady_timer timer_;  // of the next call
     std::shared_ptr<void> pause_;      // while it runs; gone, it is void even if its handler is under way
-    std::shared_ptr<Call> watch_, fetch_;
+    std::shared_ptr<Call> watch_, fetch_, late_;
     bool active_ = false, told_ = false;
     bool heard_ = false;    // the last call was answered: the next one may hold
     bool compares_ = true;  // version_ is one that a watch may ask from
