The test of open requests under a limit keeps no refused clients

Seen: FleetDaemon.OpenRequestsUnderALimitAreGivenBackAtTheirEnd failed once (too many open files), and passed alone. It connects anew until the member's own part may be used, seconds later, and kept each refused client's connection: as many as the machine is fast, 20,000 allowed here. It now keeps those that are open, which is what it asserts.

--- a/tests/integration/fleet_daemon_test.cpp
+++ b/tests/integration/fleet_daemon_test.cpp
@@ -223,6 +223,7 @@
         one.send(get("/archive"));
         const auto before = a.requests.size();
         until([&] { return !one.answers.empty() || a.requests.size() > before; });
+        if (!one.answers.empty()) held.pop_back();  // refused: thousands of them, on a fast machine
         return a.requests.size() == 2;
     });
     EXPECT_EQ(ask(get("/archive")).result_int(), 503u) << "two are open";
