Asked discovery is waited for as long as its queue, and no trickle costs the patience

Change: 1,500 ms of patience where lists are asked for. So that the sum of five faults stays at 5,025 ms, an answer that has begun has 300 ms from its first byte (Call::read), not behind the patience. The lingering late answer is taken back: the patience does most of its work, without its state. A connect without a descriptor asks for one once; asio's connect had opened the socket a second time.

--- a/src/discovery/platform.cpp
+++ b/src/discovery/platform.cpp
@@ -1,6 +1,7 @@
 #include "discovery/platform.hpp"
 
 #include <algorithm>
+#include <boost/asio/post.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <optional>
@@ -43,15 +44,14 @@
     void get(const std::string& target, Millis hold, Done done) {
         done_ = std::move(done);
         hold_ = hold;
-        may_linger_ = hold <= 0;
-        silent_ = false;
         parser_.reset();
         request_ = {http::verb::get, target, 11};
         request_.set(http::field::host,
                      address_.address().to_string() + ":" + std::to_string(address_.port()));
         if (socket_.is_open()) return write();
         give(limits_.connect, false);
-        open_socket(socket_, address_.protocol(), let_go_);  // without it the connect fails
+        if (open_socket(socket_, address_.protocol(), let_go_))
+            return asio::post(socket_.get_executor(), [self = shared_from_this()] { self->end(false); });
         socket_.async_connect(address_, [self = shared_from_this()](error_code failed) {
             if (failed || !self->out()) return self->end(false);
             error_code ignored;
@@ -61,14 +61,6 @@
         });
     }
     bool out() const { return done_ != nullptr; }
-    // It was given up as nothing of an answer had come, and may linger.
-    bool silent() const { return silent_; }
-    // Waits on for the answer.
-    void linger(Done done) {
-        done_ = std::move(done);
-        silent_ = false;
-        give(limits_.late - limits_.patience, true);
-    }
 
     // What has come behind the last answer.
     enum class Idle { nothing, bytes, end };
@@ -86,7 +78,7 @@
     }
 
 private:
-    // The time for what comes next. `more`: what has begun by then is given some more.
+    // The time for what comes next. `more`: what lies unread by then has begun, and has its own time.
     void give(Millis time, bool more) {
         timer_.expires_after(span(time));
         timer_.async_wait([weak = weak_from_this(), more](error_code cancelled) {
@@ -94,16 +86,11 @@
             if (!self || cancelled) return;
             // One that was under way when its time was over otherwise is not for what came next.
             if (self->timer_.expiry() > asio::steady_timer::clock_type::now()) return;
-            if (more && self->has_begun()) return self->give(self->limits_.rest, false);
-            self->silent_ = more && std::exchange(self->may_linger_, false);
+            error_code ignored;
+            if (more && self->socket_.available(ignored) > 0) return self->give(self->limits_.rest, false);
             self->end(false);
         });
     }
-    // Something of the answer has come, read or not: we may be the ones who were slow.
-    bool has_begun() const {
-        error_code ignored;
-        return parser_ && (parser_->got_some() || buffer_.size() > 0 || socket_.available(ignored) > 0);
-    }
     void write() {
         give(hold_ + limits_.patience, true);
         http::async_write(socket_, request_, [self = shared_from_this()](error_code failed, std::size_t) {
@@ -111,8 +98,16 @@
             self->read();
         });
     }
+    // An answer that has begun has `rest` to be whole, so that one that trickles is not waited for in vain.
     void read() {
         parser_.emplace();
+        socket_.async_wait(Tcp::socket::wait_read, [self = shared_from_this()](error_code failed) {
+            if (failed || !self->out()) return self->end(false);
+            self->give(self->limits_.rest, false);
+            self->read_on();
+        });
+    }
+    void read_on() {
         async_read_bounded(socket_, buffer_, *parser_, kListLimit,
                            [self = shared_from_this()](error_code failed) {
                                self->end(!failed && self->parser_->get().result() == http::status::ok);
@@ -127,7 +122,7 @@
         const Done done = std::exchange(done_, nullptr);
         if (!done) return;
         timer_.cancel();
-        if (!silent_ && (!answered || !parser_->keep_alive())) drop();
+        if (!answered || !parser_->keep_alive()) drop();
         done(answered, answered ? parser_->get().body() : std::string());
     }
 
@@ -135,7 +130,6 @@
     const Limits& limits_;
     const LetGo let_go_;
     Millis hold_ = 0;
-    bool may_linger_ = false, silent_ = false;
     Tcp::socket socket_;
     asio::steady_timer timer_;
     http::request<http::empty_body> request_;
@@ -157,7 +151,6 @@
 
 Discovery::~Discovery() {
     end_watch();
-    end_late();
     if (fetch_) fetch_->close();
 }
 
@@ -166,8 +159,7 @@
     pause_ = nullptr;
     timer_.cancel();
     end_watch();
-    if (!active) return end_late();
-    begin();
+    if (active) begin();
 }
 
 void Discovery::begin() {
@@ -200,7 +192,6 @@
     address_ = address;
     compares_ = false;
     heard_ = false;
-    end_late();
     if (active_) watch(true);
     if (fetch_ && fetch_->out()) {
         fetch_->close();
@@ -228,9 +219,6 @@
     const std::optional<MemberList> list = read(asked, answered, body);
     const std::uint64_t before = version_;
     const bool believed = list && take(asked, *list);
-    // A newer call has told what the late one could, or more.
-    if (list) end_late();
-    if (!list) linger(asked);
     if (!list) end_watch();
     look();
     const bool back = !std::exchange(heard_, list.has_value()) && !persistent_;
@@ -242,21 +230,6 @@
     if (believed && (back || list->full || !list->members.empty())) callbacks_.changed(*list);
 }
 
-// A call that a slow discovery has not answered in its time is left out beside the next ones, one at most:
-// what it brings is news, and no reason to call sooner.
-void Discovery::linger(const Asked& asked) {
-    if (!watch_ || !watch_->silent() || late_) return;
-    late_ = std::exchange(watch_, nullptr);
-    late_->linger([this, asked](bool answered, const std::string& body) {
-        end_late();
-        std::optional<MemberList> list = read(asked, answered, body);
-        // One that goes back is left to the next call, which finds it out.
-        if (!list || (!list->full && list->version < asked.version)) return;
-        if (take(asked, *list) && (list->full || !list->members.empty()))
-            callbacks_.changed(std::move(*list));
-    });
-}
-
 // What an answer says, if it can be read and is what was asked for.
 std::optional<MemberList> Discovery::read(const Asked& asked, bool answered, const std::string& body) {
     std::string why = "no answer";
@@ -296,7 +269,6 @@
 void Discovery::distrust(const char* why) {
     compares_ = false;
     end_watch();
-    end_late();
     log_once(why);
 }
 
@@ -305,11 +277,6 @@
     watch_ = nullptr;
 }
 
-void Discovery::end_late() {
-    if (late_) late_->close();
-    late_ = nullptr;
-}
-
 // Until there is a good answer again.
 void Discovery::log_once(const std::string& why) {
     if (!std::exchange(told_, true)) log_.line("discovery: " + why);
--- a/src/discovery/platform.hpp
+++ b/src/discovery/platform.hpp
@@ -30,12 +30,12 @@
     struct Limits {
         Millis hold;      // asked for by a watch
         Millis patience;  // with a call that says nothing, beyond that
-        Millis rest;      // for an answer that has begun when the patience is over
+        Millis rest;      // for an answer that has begun
         Millis connect;
-        Millis late;  // instead of the patience, for one call beside those that follow it
     };
-    // An agent beside us answers at once and costs nothing; one service for all is asked more rarely.
-    static constexpr Limits kPushed{1000, 250, 300, 250, 2000}, kAsked{2000, 800, 300, 250, 2000};
+    // An agent beside us answers at once and costs nothing. One service for all takes calls in turn: who
+    // gives one up that is in the queue only asks for more of what is short.
+    static constexpr Limits kPushed{1000, 250, 300, 250}, kAsked{2000, 1500, 300, 250};
 
     // `persistent`: a watch that fails is begun again by itself, as is right with an agent (kPushed); else
     // whoever wants it asks for it anew (kAsked).
@@ -62,9 +62,7 @@
     bool take(const Asked& asked, const MemberList& list);
     void look();
     void distrust(const char* why);
-    void linger(const Asked& asked);
     void end_watch();
-    void end_late();
     void log_once(const std::string& why);
 
     boost::asio::io_context& io_;
@@ -78,7 +76,7 @@
     CallPace pace_;
     boost::asio::steady_timer timer_;  // of the next call
     std::shared_ptr<void> pause_;      // while it runs; gone, it is void even if its handler is under way
-    std::shared_ptr<Call> watch_, fetch_, late_;
+    std::shared_ptr<Call> watch_, fetch_;
     bool active_ = false, told_ = false;
     bool heard_ = false;    // the last call was answered: the next one may hold
     bool compares_ = true;  // version_ is one that a watch may ask from
