A server is told what is left as its request goes out, not as its connect began

Cause: Request-Timeout-Ms was written into the head when the attempt began, and went out once the connect had come up, up to limits.connect-timeout-ms later. Reused connections write at once, and were right; an attempt's limits were right as well.

The listener's question ahead of the first byte (attempt_wanted) now answers with the time that is left (attempt_time_left, 0: it may not begin), and the call writes its head anew with it (HttpCall::retell).

Both tests were seen failing without retell, 50 of 50 pass with it.

--- a/src/engine/pool.cpp
+++ b/src/engine/pool.cpp
@@ -310,9 +310,10 @@
     give(ProbeEnded{probing.server, outcome, engine_.now() - probing.began});
 }
 
-bool Pool::attempt_wanted(Transport::Key key) const {
+Millis Pool::attempt_time_left(Transport::Key key) const {
     const Book::OpenRequest* const request = ledger_.request(key.request);
-    return request && key.attempt < request->attempts.size() && may_begin(*request, key.attempt);
+    const bool may = request && key.attempt < request->attempts.size() && may_begin(*request, key.attempt);
+    return may ? request->attempts[key.attempt].until - engine_.now() : 0;
 }
 
 bool Pool::attempt_begun(Transport::Key key) {
--- a/src/engine/pool.hpp
+++ b/src/engine/pool.hpp
@@ -139,7 +139,7 @@
     void timer_due(TimerToken token);
     void overtime(RequestId request);
 
-    bool attempt_wanted(Transport::Key key) const override;
+    Millis attempt_time_left(Transport::Key key) const override;
     bool attempt_begun(Transport::Key key) override;
     void attempt_ended(Transport::Key key, Outcome outcome, std::unique_ptr<Answer> answer) override;
     void probe_ended(MachineId machine, Outcome outcome) override;
--- a/src/engine/transport.hpp
+++ b/src/engine/transport.hpp
@@ -27,9 +27,9 @@
     class Listener {
     public:
         // Asked when a connection that had to be made has come up, just ahead of the request's first byte.
-        // False: it may not begin any more (Pool::may_begin): nothing is written, and the exchange ends as
-        // superseded.
-        virtual bool attempt_wanted(Key key) const = 0;
+        // How long its server is given by now. 0: it may not begin any more (Pool::may_begin): nothing is
+        // written, and the exchange ends as superseded.
+        virtual Millis attempt_time_left(Key key) const = 0;
         // The final answer has begun and would be passed on as it comes. False: it is not wanted any more.
         virtual bool attempt_begun(Key key) = 0;
         // Once for each exchange that began and was not stopped. The answer is there where the outcome is
--- a/src/http/call.hpp
+++ b/src/http/call.hpp
@@ -22,6 +22,8 @@
 public:
     // The request as it goes to a server, which is given that long (milliseconds) to answer.
     virtual Upstream::Request outgoing(Millis time_left) const = 0;
+    // The same head once more, which the server is given less time for.
+    virtual void retell(std::string&, Millis) const {}
     // The answer is passed on as it comes (Judge::whole_up_to); where to.
     virtual std::shared_ptr<Stream> pass_on(Upstream::Response, std::optional<std::uint64_t>) {
         return nullptr;
--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -140,6 +140,14 @@
         : client_(std::move(client)), message_(std::move(message)) {}
 
     Upstream::Request outgoing(Millis time_left) const override {
+        Upstream::Request to;
+        to.head = head(time_left);
+        to.body = message_.body();
+        to.keep = shared_from_this();
+        return to;
+    }
+    void retell(std::string& head, Millis time_left) const override { head = this->head(time_left); }
+    std::string head(Millis time_left) const {
         HeadText head = HeadText::request(view(message_.method_string()), view(message_.target()));
         head.add("Host", view(message_[http::field::host]));
         each_end_to_end(message_, [&](const auto& field) {
@@ -148,11 +156,7 @@
         head.add("Request-Timeout-Ms", static_cast<std::uint64_t>(std::max(1.0, time_left)));
         const std::string& body = message_.body();
         if (!body.empty() || message_.method() == http::verb::post) head.add("Content-Length", body.size());
-        Upstream::Request to;
-        to.head = head.whole();
-        to.body = body;
-        to.keep = shared_from_this();
-        return to;
+        return head.whole();
     }
     // By the protocol's table. An error without the proof may have run.
     Outcome outcome_of(const http::response_header<>& head) const override {
--- a/src/http/transport.cpp
+++ b/src/http/transport.cpp
@@ -25,7 +25,11 @@
             request.idle = pool->second.idle;
         }
         request.judge = &call;  // kept by request.keep
-        request.wanted = [&listener, key] { return listener.attempt_wanted(key); };
+        request.wanted = [&call, &listener, key](std::string& head) {
+            const Millis time_left = listener.attempt_time_left(key);
+            if (time_left > 0) call.retell(head, time_left);
+            return time_left > 0;
+        };
         if (call.whole_up_to() > 0)
             request.pass_on = [&call, &listener, key](Upstream::Response head,
                                                       std::optional<std::uint64_t> length) {
--- a/src/http/upstream.cpp
+++ b/src/http/upstream.cpp
@@ -75,8 +75,8 @@
                 if (self->unasked()) self->owner_->stray(*self);
                 return self->fail(Outcome::refused_connection);
             }
-            if (self->exchange_->request.wanted && !self->exchange_->request.wanted())
-                return self->fail(Outcome::superseded);
+            Request& request = self->exchange_->request;
+            if (request.wanted && !request.wanted(request.head)) return self->fail(Outcome::superseded);
             self->wait_readable();
             self->write();
         });
--- a/src/http/upstream.hpp
+++ b/src/http/upstream.hpp
@@ -49,7 +49,8 @@
         ~Judge() = default;
     };
     // Asked where a connection had to be made, just ahead of the first byte; false: it ends as superseded.
-    using Wanted = std::function<bool()>;
+    // What the head tells may have become another by then, and is written anew.
+    using Wanted = std::function<bool(std::string& head)>;
     // The answer is passed on as it comes: where to, or null if nobody wants it. `length`: of its body, where
     // the head tells it.
     using PassOn = std::function<std::shared_ptr<Stream>(Response head, std::optional<std::uint64_t> length)>;
--- a/src/ldap/transport.cpp
+++ b/src/ldap/transport.cpp
@@ -304,7 +304,7 @@
             waiting_.pop_front();
             const auto at = open_.find(id);
             if (at == open_.end()) continue;
-            if (!at->second.listener->attempt_wanted(at->second.key)) {
+            if (at->second.listener->attempt_time_left(at->second.key) <= 0) {
                 end(id, Outcome::superseded, nullptr);
                 if (!owner_) return;
                 continue;
--- a/tests/integration/keyed_window_test.cpp
+++ b/tests/integration/keyed_window_test.cpp
@@ -15,6 +15,10 @@
         if (on_outgoing) on_outgoing(told.size());
         return PostCall::outgoing(time_left);
     }
+    void retell(std::string& head, Millis time_left) const override {
+        told.back() = time_left;
+        PostCall::retell(head, time_left);
+    }
     std::function<void(std::size_t attempt)> on_outgoing;
     mutable std::vector<Millis> told;  // how long each attempt's server is given
 };
@@ -145,6 +149,19 @@
     EXPECT_EQ(arrived(), 1u);
 }
 
+// The connect takes its time, and comes up while the window is open: its server is told what is left then.
+TEST_F(KeyedWindow, AConnectThatComesUpLateLeavesItsServerLess) {
+    start();
+    script = [&] { return arrived() == 1 ? reset_at(10) : Reply{response("200 OK")}; };
+    const auto call = take();
+    call->on_outgoing = [&](std::size_t attempt) {
+        if (attempt == 2) time.at = began + kBeginBy - 1;
+    };
+    until([&] { return call->end != End::none; });
+    EXPECT_EQ(call->end, End::served);
+    EXPECT_EQ(call->told, (std::vector<Millis>{5000, kWindow - (kBeginBy - 1)}));
+}
+
 // Its last byte would come when its server may have forgotten: the body is more than all buffers between
 // hold.
 TEST_F(KeyedWindow, WhatIsNotWrittenWholeInTimeIsStopped) {
--- a/tests/integration/sidecar_test.cpp
+++ b/tests/integration/sidecar_test.cpp
@@ -1,6 +1,7 @@
 // The whole sidecar over loopback sockets, between a scripted client, servers and discovery.
 #include <sys/resource.h>
 
+#include "rig/http_call.hpp"
 #include "rig/net_rig.hpp"
 
 namespace whinledge::test {
@@ -29,6 +30,42 @@
     EXPECT_EQ(sidecar->held().requests, 0u);
 }
 
+// A connect that comes up late leaves its server less time, and the request says so.
+TEST_F(Net, AServerIsToldWhatIsLeftAsItsRequestGoesOut) {
+    DeafServer deaf(io);
+    std::string config =
+        config_json(agent.address(),
+                    list_json(41, true, {{"s-d", "127.0.0.1:" + std::to_string(deaf.endpoint().port())}}));
+    const std::string timeout = "\"connect-timeout-ms\":150.0";
+    config.replace(config.find(timeout), timeout.size(), "\"connect-timeout-ms\":9000.0");
+    sidecar.emplace(io, read_config(config));
+    client().send(request("listen", "id-1", 9000));
+    until([&] { return sidecar->records() == 1; });
+    const auto begun = std::chrono::steady_clock::now();
+    // Its queue has room from now on: the kernel's next try comes up.
+    std::list<std::pair<Tcp::socket, std::string>> accepted;
+    std::string head;
+    std::function<void()> accept = [&] {
+        deaf.acceptor.async_accept([&](error_code failed, Tcp::socket socket) {
+            if (failed) return;
+            auto& [in, text] = accepted.emplace_back(std::move(socket), std::string());
+            asio::async_read_until(in, asio::dynamic_buffer(text), "\r\n\r\n",
+                                   [&head, &text = text](error_code broken, std::size_t) {
+                                       if (!broken) head = text;
+                                   });
+            accept();
+        });
+    };
+    accept();
+    until([&] { return !head.empty(); });
+    const auto took =
+        std::chrono::duration<double, std::milli>(std::chrono::steady_clock::now() - begun).count();
+    EXPECT_GT(took, 150) << "the connect was not late";
+    const std::string field = "Request-Timeout-Ms: ";
+    ASSERT_NE(head.find(field), std::string::npos) << head;
+    EXPECT_LE(std::stod(head.substr(head.find(field) + field.size())), 9000 - took + 100);
+}
+
 // An agent that never answers must not keep the sidecar from being ready.
 TEST_F(Net, IsReadyWithASilentAgent) {
     start();
--- a/tests/integration/upstream_test.cpp
+++ b/tests/integration/upstream_test.cpp
@@ -231,7 +231,7 @@
     const auto send = [&] {
         Upstream::Request request;
         request.head = HeadText::request("POST", "/deposit").add("Content-Length", "0").whole();
-        request.wanted = [&] { return ++asked, wanted; };
+        request.wanted = [&](std::string&) { return ++asked, wanted; };
         upstream->start(kServer, std::move(request),
                         [&](Outcome outcome, const auto&, const auto&) { outcomes.push_back(outcome); });
     };
--- a/tests/unit/engine_test.cpp
+++ b/tests/unit/engine_test.cpp
@@ -205,7 +205,7 @@
     ASSERT_NE(id, 0u);
     const auto wanted = [&] {
         const auto& out = transport.out.at(id);
-        return out.listener->attempt_wanted(out.key);
+        return out.listener->attempt_time_left(out.key) > 0;
     };
     EXPECT_TRUE(wanted());
     p.members({2, false, {member("s-1", "10.0.0.1:1", Phase::fading)}});
@@ -232,7 +232,7 @@
     const auto& out = transport.out.at(id);
     q.members({2, false, {member("t-1", "10.0.0.1:1", Phase::fading)}});
     pass(300);
-    EXPECT_FALSE(out.listener->attempt_wanted(out.key));
+    EXPECT_EQ(out.listener->attempt_time_left(out.key), 0);
 }
 
 // A machine that says itself that it is about to end.
