Who is not read on is seen to go, within 100 ms, and nothing begins for it

Cause, found by reading: a client of the http profile whose body its server does not take is not read on, so its end, behind unread bytes, was no event; may_start looked at the next byte alone, which was no end. An attempt that became due then (a connect that never came up) went out for nobody, and the client's place was held to the route's timeout. LDAP's clients likewise, while a bind waits or as much is open as may be.

Guest::has_gone asks the connection's state as well (TCP_INFO, in one place now), for all profiles; Guest::watch_end looks every 50 ms at who is held up, and closes it; LDAP's operations ask has_gone ahead of further attempts, as the others do. What can't be seen: an end that stands behind more than the socket's buffer holds.

--- a/src/http/web.cpp
+++ b/src/http/web.cpp
@@ -335,6 +335,7 @@
     // ---- Reading
     // ------------------------------------------------------------------------------------------------
 
+    bool held_up() const override { return paused_ && reading_body_; }
     void readable(error_code) override {
         if (phase_ == Phase::idle) return begin();
         if (reading_body_ || phase_ == Phase::head) return read();
@@ -570,6 +571,7 @@
         if (!rest->full()) return wait_readable();
         limit(0);  // its server takes its time
         paused_ = true;
+        watch_end();
     }
     // What a stream may hold, of what its limits leave; each of the two has a little in any case.
     static std::size_t stream_bound(Exchange& call) {
--- a/src/ldap/listener.cpp
+++ b/src/ldap/listener.cpp
@@ -68,10 +68,11 @@
     Way way = Way::shared;
     std::shared_ptr<Session> session;
     Tie tie = Tie::none;
-    Bytes proxied;        // the request as it goes out, where that is not as it came
-    bool bound = false;   // to its session's home
-    bool unsafe = false;  // its effect may not happen twice
-    Millis deadline = 0;  // on the steady clock
+    Bytes proxied;         // the request as it goes out, where that is not as it came
+    bool bound = false;    // to its session's home
+    bool unsafe = false;   // its effect may not happen twice
+    bool arriving = true;  // has just been read
+    Millis deadline = 0;   // on the steady clock
     std::unique_ptr<Grant> grant;
 
     Outgoing outgoing() const override {
@@ -85,10 +86,8 @@
     std::size_t buffer() const override { return route->handling.buffer; }
     bool at_once() const override { return tie == Tie::alone; }
     Millis idle() const override { return tie == Tie::alone ? 0 : route->handling.stream_idle; }
-    bool may_start(std::uint32_t attempt) const noexcept override {
-        // Elsewhere its state is not, once it has been tried where it is.
-        return attempt < route->handling.attempts && !(bound && attempt > 0 && session->home() == 0);
-    }
+    // One that does not begin right on arrival looks first for its client's end.
+    bool may_start(std::uint32_t attempt) const noexcept override;
     // It may be at a server.
     bool sent() const { return sent_; }
 
@@ -172,6 +171,7 @@
     }
     void cut_off() { close(); }
     void broken() noexcept override { say_last(tls_ ? std::string_view() : kLastNotice); }
+    using Guest::has_gone;
 
 private:
     static constexpr int kMostReads = 16;
@@ -184,21 +184,18 @@
         return binding_ || finish_due_ || ops_.size() >= owner_.options_.operations || full();
     }
 
+    bool held_up() const override { return held_; }
+    void hold_up() {
+        held_ = true;
+        watch_end();
+    }
     void readable(error_code) override {
-        if (blocked()) {
-            held_ = true;
-            return;
-        }
+        if (blocked()) return hold_up();
         error_code error;
         read(error);
         if (door_ && !error && !finishing()) go_on();
     }
-    void go_on() {
-        if (blocked())
-            held_ = true;
-        else
-            wait_readable();
-    }
+    void go_on() { blocked() ? hold_up() : wait_readable(); }
     // What held the reading up is over.
     void unblock() {
         if (!door_ || finishing() || blocked() || again_) return;
@@ -376,9 +373,7 @@
         if (owner_.callbacks_.admit) {
             Admission admission = owner_.callbacks_.admit(route.pool, class_of(op->request, route.handling));
             if (!admission.grant)
-                return binding_ = false,
-                       result(*op, busy,
-                              harmless(admission.retry_in) + ": over a limit");
+                return binding_ = false, result(*op, busy, harmless(admission.retry_in) + ": over a limit");
             op->grant = std::move(admission.grant);
         }
         const auto at =
@@ -399,6 +394,7 @@
         ops_[op->id] = op;
         watch();
         view.pool->take(op, arrival);
+        op->arriving = false;
     }
 
     void end_endless() {
@@ -676,6 +672,12 @@
     }
 }
 
+bool LdapListener::Operation::may_start(std::uint32_t attempt) const noexcept {
+    // Elsewhere its state is not, once it has been tried where it is.
+    return attempt < route->handling.attempts && !(bound && attempt > 0 && session->home() == 0) &&
+           (arriving || (client_ && !client_->has_gone()));
+}
+
 bool LdapListener::Operation::part(const Message& part) noexcept {
     if (!client_) return false;
     try {
--- a/src/listen/door.cpp
+++ b/src/listen/door.cpp
@@ -26,6 +26,7 @@
 // How long the client's end is awaited after a last answer; longer where it may still be sending, or has not
 // got all of the answer.
 constexpr Millis kLinger = 300, kLongLinger = 2500;
+constexpr Millis kLook = 50;                   // between looks for the end of who is held up
 constexpr std::size_t kMostEarly = 16 * 1024;  // of what a client sends ahead of its answer
 constexpr int kLastReads = 8;                  // of what a client has sent, ahead of its connection's close
 constexpr Millis kHaste = 500;                 // of a drain in haste, for answers to be taken
@@ -38,6 +39,16 @@
     }
 };
 
+// What Linux tells of a socket; all zero where it tells nothing.
+template <class Socket>
+tcp_info tcp_info_of(const Socket& socket) {
+    tcp_info info{}, none{};
+    socklen_t size = sizeof info;
+    const int failed =
+        ::getsockopt(const_cast<Socket&>(socket).native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size);
+    return failed ? none : info;
+}
+
 }  // namespace
 
 // ---- A guest
@@ -69,9 +80,21 @@
     return error;
 }
 
+// A read would bring what lies ahead of the end; Linux tells the connection's state beside it.
 bool Door::Guest::has_gone() const {
     const error_code error = unread();
-    return error && error != asio::error::would_block;
+    if (error) return error != asio::error::would_block;
+    const auto state = tcp_info_of(socket_).tcpi_state;
+    return state == TCP_CLOSE_WAIT || state == TCP_CLOSE;
+}
+
+void Door::Guest::watch_end() {
+    if (!look_) look_ = std::make_unique<asio::steady_timer>(door_->io_);
+    look_->expires_after(span(kLook));
+    look_->async_wait([self = shared_from_this(), this](error_code cancelled) {
+        if (cancelled || !door_ || waiting_ || !held_up()) return;
+        has_gone() ? close() : watch_end();
+    });
 }
 
 void Door::Guest::wait_readable() {
@@ -119,13 +142,7 @@
 }
 
 // Since something came from it, or it connected: it may have waited to be accepted for long. Linux tells.
-Millis Door::Guest::silence() const {
-    tcp_info info{};
-    socklen_t size = sizeof info;
-    const int failed =
-        ::getsockopt(const_cast<Tcp::socket&>(socket_).native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size);
-    return failed ? 0 : info.tcpi_last_data_recv;
-}
+Millis Door::Guest::silence() const { return tcp_info_of(socket_).tcpi_last_data_recv; }
 
 // Once for each wait, so that who sends at full speed is no more than one among all.
 void Door::Guest::discard() {
@@ -320,13 +337,7 @@
 }
 
 // Of a listening socket Linux tells them in this field.
-std::size_t Door::queued() const {
-    tcp_info info{};
-    socklen_t size = sizeof info;
-    const int failed = ::getsockopt(const_cast<Tcp::acceptor&>(acceptor_).native_handle(), IPPROTO_TCP,
-                                    TCP_INFO, &info, &size);
-    return failed ? 0 : info.tcpi_unacked;
-}
+std::size_t Door::queued() const { return tcp_info_of(acceptor_).tcpi_unacked; }
 
 void Door::rested() {
     if (places_.full())
--- a/src/listen/door.hpp
+++ b/src/listen/door.hpp
@@ -60,8 +60,12 @@
         bool limited() const { return limit_ != kNever; }
         // What a read would bring: an error, its end, or nothing yet (would_block).
         error_code unread() const;
-        // Its end, or an error, is the next thing on the socket.
+        // Its end, or an error, has come, be it behind bytes that nobody has read.
         bool has_gone() const;
+        // It is left unread for now, though it counts as gone once its end has come.
+        virtual bool held_up() const { return false; }
+        // For as long as it is held up: its end, which no wait would tell, is looked for, and closes it.
+        void watch_end();
         // One wait at a time; its end is readable().
         void wait_readable();
         // Bytes of what can be had at once, in the door's buffer; empty with would_block.
@@ -90,6 +94,7 @@
 
         static constexpr Millis kNever = std::numeric_limits<Millis>::infinity();
         Millis limit_ = kNever, longest_linger_ = 0;
+        std::unique_ptr<boost::asio::steady_timer> look_;  // of who has been held up
         bool waiting_ = false, finishing_ = false;
     };
     using GuestPtr = std::shared_ptr<Guest>;
--- /dev/null
+++ b/tests/integration/ldap_leaves_test.cpp
@@ -0,0 +1,72 @@
+// LDAP's clients that leave while they are not read.
+#include "rig/ldap_rig.hpp"
+#include "rig/starved.hpp"
+
+namespace whinledge::test {
+namespace {
+
+struct LdapLeaves : LdapRig {
+    const std::string search = RawLdap::search(1, "ou=people," + base);
+    // A bind waits for what is open, and nothing behind it is read.
+    const std::string bind = RawLdap::bind(2, "uid=anna," + base, "anna-secret");
+
+    void start_two() { start_with({&one, &two}, false, "timeout = \"5s\""); }
+    void until_forgotten() {
+        const double starved = waited_for_cpu();
+        const auto begun = std::chrono::steady_clock::now();
+        until([&] { return daemon->clients() == 0 && open() == 0; });
+        const auto took = std::chrono::duration<double, std::milli>(std::chrono::steady_clock::now() - begun);
+        EXPECT_LT(took.count() - (waited_for_cpu() - starved), 100);
+    }
+};
+
+TEST_F(LdapLeaves, ItsEndIsSeenBehindWhatNobodyReads) {
+    one.script = two.script = [](const auto&) {
+        DirectoryServer::Fault fault;
+        fault.silent = true;
+        return fault;
+    };
+    for (const bool reset : {false, true}) {
+        SCOPED_TRACE(reset);
+        start_two();
+        RawClient& c = raw_ldap();
+        const std::size_t before = seen(ldap::Op::search);
+        c.send(search + bind);
+        until([&] { return seen(ldap::Op::search) > before; });
+        c.send(bind);  // lies unread
+        if (reset) c.socket().set_option(asio::socket_base::linger(true, 0));
+        c.close();
+        until_forgotten();
+        forget_clients();
+        daemon.reset();
+    }
+}
+
+// The proof that its attempt never ran is there ahead of the next look for who has gone.
+TEST_F(LdapLeaves, NoFurtherAttemptBeginsForWhoIsNotRead) {
+    one.script = two.script = [](const auto&) {
+        DirectoryServer::Fault fault;
+        fault.code = ldap::busy;
+        return fault;
+    };
+    for (int round = 0; round < 5; ++round) {
+        SCOPED_TRACE(round);
+        one.freeze();
+        two.freeze();
+        start_two();
+        const std::size_t before = seen(ldap::Op::search);
+        RawClient& c = raw_ldap();
+        c.send(search + bind);
+        until([&] { return open() == 1; });
+        c.close();
+        one.thaw();
+        two.thaw();
+        until_forgotten();
+        EXPECT_LE(seen(ldap::Op::search), before + 1) << "sent on for nobody";
+        forget_clients();
+        daemon.reset();
+    }
+}
+
+}  // namespace
+}  // namespace whinledge::test
