A datagram socket that fails is left alone for 20 ms; LDAP's connects let go who idles

A connect to a directory that found no descriptor failed though clients idled, unlike HTTP's and discovery's.

receive_later waits and counts; LdapTransport opens its sockets with open_socket, as the others do. The tests make the one call fail (recvfrom, socket).

--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -125,9 +125,10 @@
       transport_(io, log_,
                  {250, 14000, for_connections(services.descriptors), kSettle, kSettleCareful, kDoubt},
                  &descriptors_, [this] { return let_go(); }),
-      directory_(
-          make_directory(io, log_, descriptors_,
-                         [this](MachineId machine) { engine_.notice(machine, options_.notice_hold); })),
+      directory_(make_directory(
+          io, log_, descriptors_,
+          [this](MachineId machine) { engine_.notice(machine, options_.notice_hold); },
+          [this] { return let_go(); })),
       engine_(clock_,
               {[this](Millis at) { wake_.at(at); }, [this](const std::string& text) { log_.line(text); }}),
       random_state_(services.seed ? *services.seed : entropy()),
--- a/src/app/directory.cpp
+++ b/src/app/directory.cpp
@@ -51,8 +51,8 @@
 class LdapDirectory final : public Directory {
 public:
     LdapDirectory(asio::io_context& io, Log& log, ConnectionBudget& budget,
-                  std::function<void(MachineId)> noticed)
-        : io_(io), transport_(io, log, &budget, std::move(noticed)) {}
+                  std::function<void(MachineId)> noticed, LetGo let_go)
+        : io_(io), transport_(io, log, &budget, std::move(noticed), std::move(let_go)) {}
 
     std::shared_ptr<const Plan> plan(const config::Services& services) const override {
         auto made = std::make_shared<DirectoryPlan>();
@@ -182,8 +182,8 @@
 }  // namespace
 
 std::unique_ptr<Directory> make_directory(asio::io_context& io, Log& log, ConnectionBudget& budget,
-                                          std::function<void(MachineId)> noticed) {
-    return std::make_unique<LdapDirectory>(io, log, budget, std::move(noticed));
+                                          std::function<void(MachineId)> noticed, LetGo let_go) {
+    return std::make_unique<LdapDirectory>(io, log, budget, std::move(noticed), std::move(let_go));
 }
 
 }  // namespace whinledge
--- a/src/app/directory.hpp
+++ b/src/app/directory.hpp
@@ -14,6 +14,7 @@
 #include "engine/pool.hpp"
 #include "io/connection_budget.hpp"
 #include "io/log.hpp"
+#include "io/open_socket.hpp"
 #include "listen/admission.hpp"
 #include "listen/listener.hpp"
 
@@ -55,8 +56,9 @@
     virtual std::size_t close_idle_of(PoolId pool, std::size_t count) = 0;
 };
 
-// `noticed`: a machine says itself that it is about to end. Null: LDAP is not built in.
+// `noticed`: a machine says itself that it is about to end. `let_go`: for a connection's descriptor, where
+// none is left. Null: LDAP is not built in.
 std::unique_ptr<Directory> make_directory(boost::asio::io_context& io, Log& log, ConnectionBudget& budget,
-                                          std::function<void(MachineId)> noticed);
+                                          std::function<void(MachineId)> noticed, LetGo let_go);
 
 }  // namespace whinledge
--- a/src/app/no_directory.cpp
+++ b/src/app/no_directory.cpp
@@ -4,7 +4,7 @@
 namespace whinledge {
 
 std::unique_ptr<Directory> make_directory(boost::asio::io_context&, Log&, ConnectionBudget&,
-                                          std::function<void(MachineId)>) {
+                                          std::function<void(MachineId)>, LetGo) {
     return nullptr;
 }
 
--- a/src/ldap/transport.cpp
+++ b/src/ldap/transport.cpp
@@ -65,7 +65,8 @@
         if (settings->secured != PoolSettings::Secured::no)
             name_ = settings->tls_name.empty() ? address.address().to_string() : settings->tls_name;
         limit(settings->connect_timeout);
-        socket_.open(address.protocol());  // throws where descriptors are wanting
+        if (const error_code failed = open_socket(socket_, address.protocol(), owner_->let_go_))
+            throw boost::system::system_error(failed);
         ++owner_->stats_.opened;
         socket_.async_connect(address, [self = shared_from_this()](error_code failed) {
             if (!self->owner_) return;
@@ -577,8 +578,13 @@
 // -----------------------------------------------------------------------------------------------
 
 LdapTransport::LdapTransport(asio::io_context& io, Log& log, ConnectionBudget* budget,
-                             std::function<void(MachineId)> noticed)
-    : io_(io), log_(log), budget_(budget), noticed_(std::move(noticed)), sweep_timer_(io) {
+                             std::function<void(MachineId)> noticed, LetGo let_go)
+    : io_(io),
+      log_(log),
+      budget_(budget),
+      noticed_(std::move(noticed)),
+      let_go_(std::move(let_go)),
+      sweep_timer_(io) {
     sweep();
 }
 LdapTransport::~LdapTransport() {
--- a/src/ldap/transport.hpp
+++ b/src/ldap/transport.hpp
@@ -16,6 +16,7 @@
 #include "engine/transport.hpp"
 #include "io/connection_budget.hpp"
 #include "io/log.hpp"
+#include "io/open_socket.hpp"
 #include "ldap/call.hpp"
 #include "ldap/tls.hpp"
 
@@ -41,9 +42,10 @@
 public:
     class Connection;
 
-    // `noticed`: a server says that it disconnects (RFC 4511, 4.4.1): it drains.
+    // `noticed`: a server says that it disconnects (RFC 4511, 4.4.1): it drains. `let_go`: for a connection's
+    // descriptor, where none is left.
     LdapTransport(boost::asio::io_context& io, Log& log, ConnectionBudget* budget,
-                  std::function<void(MachineId)> noticed);
+                  std::function<void(MachineId)> noticed, LetGo let_go);
     ~LdapTransport() override;
 
     void set_pool(PoolId pool, PoolSettings settings);
@@ -91,6 +93,7 @@
     Log& log_;
     ConnectionBudget* budget_;
     std::function<void(MachineId)> noticed_;
+    const LetGo let_go_;
     std::map<MachineId, Machine> machines_;
     std::map<PoolId, std::shared_ptr<const PoolSettings>> pools_;
     std::unordered_map<ExchangeId, Where> exchanges_;
--- a/src/peers/peers.cpp
+++ b/src/peers/peers.cpp
@@ -3,15 +3,22 @@
 #include <boost/asio/buffer.hpp>
 #include <string_view>
 
+#include "io/clock.hpp"
 #include "io/insist.hpp"
 
 namespace whinledge {
 
 using boost::system::error_code;
 
+namespace {
+
+constexpr Millis kPause = 20;  // of a socket that fails
+
+}  // namespace
+
 Peers::Peers(boost::asio::io_context& io, Log& log, const Udp::endpoint& listen,
              std::vector<Udp::endpoint> peers, std::optional<Udp::endpoint> all, Received received)
-    : log_(log), socket_(io, listen), all_(std::move(all)), received_(std::move(received)) {
+    : log_(log), socket_(io, listen), pause_(io), all_(std::move(all)), received_(std::move(received)) {
     socket_.non_blocking(true);
     replace(std::move(peers));
     receive();
@@ -62,9 +69,20 @@
             boost::asio::buffer(buffer_), sender_,
             [this, here = std::weak_ptr<void>(here_)](error_code failed, std::size_t size) {
                 if (here.expired() || failed == boost::asio::error::operation_aborted) return;
-                failed ? receive() : take(size);
+                failed ? receive_later() : take(size);
             });
     });
 }
 
+// A socket that fails may do so each time, and at once.
+void Peers::receive_later() {
+    ++counts_.failed;
+    pause_.expires_after(span(kPause));
+    insist([this] {
+        pause_.async_wait([this, here = std::weak_ptr<void>(here_)](error_code cancelled) {
+            if (!cancelled && !here.expired()) receive();
+        });
+    });
+}
+
 }  // namespace whinledge
--- a/src/peers/peers.hpp
+++ b/src/peers/peers.hpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -34,7 +35,8 @@
 
     // Since the start. Bytes of what was sent; what the system did not take is lost like any datagram.
     struct Counts {
-        std::uint64_t sent = 0, bytes = 0, not_taken = 0, received = 0, strangers = 0, too_long = 0;
+        std::uint64_t sent = 0, bytes = 0, not_taken = 0, received = 0, strangers = 0, too_long = 0,
+                      failed = 0;
     };
     const Counts& counts() const { return counts_; }
 
@@ -43,10 +45,12 @@
         std::size_t operator()(const Udp::endpoint& e) const;
     };
     void receive();
+    void receive_later();
     void take(std::size_t size);
 
     Log& log_;
     Udp::socket socket_;
+    boost::asio::steady_timer pause_;
     std::vector<Udp::endpoint> peers_;
     std::unordered_map<Udp::endpoint, std::uint32_t, Hash> by_address_;
     std::optional<Udp::endpoint> all_;
--- a/tests/integration/ldap_leaves_test.cpp
+++ b/tests/integration/ldap_leaves_test.cpp
@@ -1,5 +1,6 @@
-// LDAP's clients that leave while they are not read.
+// LDAP's clients that leave while they are not read, and what idles where a connect wants its descriptor.
 #include "rig/ldap_rig.hpp"
+#include "rig/no_sockets.hpp"
 #include "rig/starved.hpp"
 
 namespace whinledge::test {
@@ -68,5 +69,18 @@
     }
 }
 
+TEST_F(LdapLeaves, AServersConnectLetsGoWhoIdles) {
+    start_two();
+    RawClient& idle = raw_ldap();
+    EXPECT_EQ(ask_raw(idle, 1, search).code, ldap::success);
+    RawClient& busy = raw_ldap();
+    until([&] { return daemon->clients() == 2; });
+    const NoSockets wanting(1);
+    EXPECT_EQ(ask_raw(busy, 3, RawLdap::search(3, "ou=people," + base)).code, ldap::success);
+    EXPECT_EQ(wanting.refused(), 1u);
+    until([&] { return idle.ended; });
+    EXPECT_FALSE(busy.ended);
+}
+
 }  // namespace
 }  // namespace whinledge::test
--- a/tests/integration/sidecar_test.cpp
+++ b/tests/integration/sidecar_test.cpp
@@ -3,6 +3,7 @@
 
 #include "rig/http_call.hpp"
 #include "rig/net_rig.hpp"
+#include "rig/no_datagrams.hpp"
 
 namespace whinledge::test {
 namespace {
@@ -571,5 +572,24 @@
     EXPECT_EQ(one.receive(asio::buffer(buffer)), 2u);  // the one before it was too long and never left
 }
 
+// A socket that fails each time it is read leaves the loop to others, and is read once it works.
+TEST(Peers, ASocketThatFailsIsLeftAloneForAWhile) {
+    asio::io_context io;
+    Log log;
+    const Udp::endpoint any(asio::ip::address_v4::loopback(), 0);
+    Udp::socket one(io, any);
+    std::size_t got = 0;
+    Peers two(io, log, any, {one.local_endpoint()}, std::nullopt, [&](auto, auto) { ++got; });
+    one.send_to(asio::buffer("hello", 5), two.address());
+    {
+        const NoDatagrams failing;
+        const auto begun = std::chrono::steady_clock::now();
+        run_until(io, [&] { return failing.failed() == 5; });
+        EXPECT_GE(std::chrono::steady_clock::now() - begun, std::chrono::milliseconds(60));
+        EXPECT_GE(two.counts().failed, 4u);
+    }
+    run_until(io, [&] { return got == 1; });
+}
+
 }  // namespace
 }  // namespace whinledge::test
--- a/tests/rig/no_sockets.cpp
+++ b/tests/rig/no_sockets.cpp
@@ -11,7 +11,8 @@
 class SocketCall {
 public:
     static int answer(int domain, int type, int protocol) {
-        if (!in_force) return static_cast<int>(::syscall(SYS_socket, domain, type, protocol));
+        if (!in_force || in_force->refused_ == in_force->calls_)
+            return static_cast<int>(::syscall(SYS_socket, domain, type, protocol));
         ++in_force->refused_;
         errno = EMFILE;
         return -1;
@@ -19,7 +20,7 @@
     static inline NoSockets* in_force = nullptr;
 };
 
-NoSockets::NoSockets() { SocketCall::in_force = this; }
+NoSockets::NoSockets(std::size_t calls) : calls_(calls) { SocketCall::in_force = this; }
 NoSockets::~NoSockets() { SocketCall::in_force = nullptr; }
 
 }  // namespace whinledge::test
--- a/tests/rig/no_sockets.hpp
+++ b/tests/rig/no_sockets.hpp
@@ -7,10 +7,10 @@
 
 namespace whinledge::test {
 
-// While one lives. One at a time.
+// While one lives, for so many calls. One at a time.
 class NoSockets {
 public:
-    NoSockets();
+    explicit NoSockets(std::size_t calls = static_cast<std::size_t>(-1));
     ~NoSockets();
     NoSockets(const NoSockets&) = delete;
     NoSockets& operator=(const NoSockets&) = delete;
@@ -19,6 +19,7 @@
 
 private:
     friend class SocketCall;
+    const std::size_t calls_;
     std::size_t refused_ = 0;
 };
 
