Who is cut off says so sooner: the suspected are not heard, and silence is 4 P

Change: standing counts who is alive and not suspect. Turns pass over suspects, which recheck() pings each P. Alone is 4 P of silence, whatever the doubt.

The bound on standing is checked with time now, and breaks where suspects count; a majority that loses a third keeps its standing (30 members, 30 % lost).

--- a/bench/fleet_sim.cpp
+++ b/bench/fleet_sim.cpp
@@ -1,5 +1,9 @@
 // The simulated fleet, measured: fleet_sim MEMBERS LOSS SEEDS [KILLS [brief]]. Times in P; the same arguments
-// give the same figures. brief: without what comes after the kills.
+// give the same figures. brief: without what comes after the kills. fleet_sim MEMBERS LOSS SEEDS standing:
+// what members say of their own standing while nothing happens (falls in so many member-seconds), when the
+// fleet is cut into halves and into two thirds and one (until the last without a majority says minority;
+// falls of the two thirds), when the cuts are healed (until all are joined), and when one hears nobody (until
+// it says alone).
 //   a fleet that starts at once: until all views agree. Where more than a tenth is lost somebody is always
 //   just contradicting, and views agree that hold all alive. quiet: datagrams and bytes a second of each
 //   member; failures held of members that are there one member killed: until all others hold it failed
@@ -105,6 +109,53 @@
         figures_.storm.push_back(static_cast<double>(most) / each());
     }
 
+    struct Standings {
+        std::vector<double> halves, third, healed, alone;
+        double watched = 0;
+        int falls = 0, falls_of_most = 0;
+    };
+    void standings(Standings& s) {
+        using whinledge::fleet::Standing;
+        const std::size_t n = fleet_.size();
+        std::size_t fallen = 0;
+        fleet_.on_standing = [&](std::size_t, const whinledge::fleet::StandingChanged& c) {
+            fallen += c.from == Standing::joined;
+        };
+        const auto all = [&](std::size_t from, std::size_t to, Standing which) {
+            return [this, from, to, which] {
+                for (std::size_t i = from; i < to; ++i)
+                    if (fleet_.at(i).standing() != which) return false;
+                return true;
+            };
+        };
+        const auto until = [&](const std::function<bool()>& holds) {
+            const Millis from = fleet_.now();
+            return since(fleet_, fleet_.run_until(holds, from + 120 * P, P / 10), from);
+        };
+        pass(100 * P);
+        s.watched += 100 * each();
+        s.falls += static_cast<int>(std::exchange(fallen, 0));
+        for (const std::size_t first : {n / 2, n - n / 3}) {
+            fleet_.passes = [first](std::size_t from, std::size_t to) {
+                return (from < first) == (to < first);
+            };
+            const bool half = 2 * first <= n;
+            const std::size_t without = half && 2 * (n - first) <= n ? 0 : half ? n : first;
+            (half ? s.halves : s.third)
+                .push_back(until(all(half && 2 * (n - first) > n ? 0 : without,
+                                     half && 2 * (n - first) > n ? first : n, Standing::minority)));
+            fleet_.run(fleet_.now() + 60 * P);
+            if (!half)
+                for (std::size_t i = 0; i < first; ++i)
+                    s.falls_of_most += fleet_.at(i).standing() != Standing::joined;
+            fleet_.passes = {};
+            s.healed.push_back(until(all(0, n, Standing::joined)));
+            fleet_.run(fleet_.now() + 60 * P);
+        }
+        fleet_.passes = [](std::size_t, std::size_t to) { return to != 0; };
+        s.alone.push_back(until(all(0, 1, Standing::alone)));
+    }
+
 private:
     double each() const { return static_cast<double>(fleet_.size()); }
     void pass(Millis span) {
@@ -183,6 +234,23 @@
 int main(int count, char** words) {
     if (count == 3 && std::string_view(words[2]) == "idle")
         return idle(static_cast<std::size_t>(std::atoi(words[1]))), 0;
+    if (count == 5 && std::string_view(words[4]) == "standing") {
+        Figures ignored;
+        Run::Standings s;
+        for (int seed = 1; seed <= std::atoi(words[3]); ++seed) {
+            Run run(static_cast<std::size_t>(std::atoi(words[1])), std::atof(words[2]),
+                    static_cast<std::uint64_t>(seed), ignored);
+            run.start();
+            run.standings(s);
+        }
+        std::printf(
+            "N %s, loss %s: %d falls in %.0f member-seconds; halves: minority %.1f, %.1f P; a third: %.1f, "
+            "%.1f P, %d of the others not joined; healed: joined %.1f, %.1f P; alone %.1f, %.1f P\n",
+            words[1], words[2], s.falls, s.watched, at(s.halves, 0.5), at(s.halves, 1), at(s.third, 0.5),
+            at(s.third, 1), s.falls_of_most, at(s.healed, 0.5), at(s.healed, 1), at(s.alone, 0.5),
+            at(s.alone, 1));
+        return 0;
+    }
     if (count < 4 || count > 6)
         return std::fprintf(stderr, "fleet_sim MEMBERS LOSS SEEDS [KILLS [brief]], or MEMBERS idle\n"), 2;
     const auto members = static_cast<std::size_t>(std::atoi(words[1]));
--- a/src/fleet/membership.cpp
+++ b/src/fleet/membership.cpp
@@ -238,6 +238,8 @@
     send(target, std::move(d), now, actions);
 }
 
+// Who is suspected is asked for by recheck() already: in its turn it would take the place of one that is not,
+// and after a cut there are many.
 Key Membership::next_in_turn() {
     for (std::size_t looked = 0; looked <= turn_.size(); ++looked) {
         if (at_turn_ >= turn_.size()) {
@@ -247,7 +249,7 @@
         if (turn_.empty()) return 0;
         const Key key = turn_[at_turn_++];
         const Entry* const e = find(key);
-        if (e->seen.state < State::failed || e->seen.incarnation == 0) return key;
+        if (e->seen.state == State::alive || e->seen.incarnation == 0) return key;
     }
     return 0;
 }
@@ -255,7 +257,7 @@
 Key Membership::next_on_ring() const {
     const auto from = std::upper_bound(peers_.begin(), peers_.end(), settings_.self,
                                        [](Key k, const Entry& e) { return k < e.seen.key; });
-    const auto here = [](const Entry& e) { return e.seen.state < State::failed; };
+    const auto here = [](const Entry& e) { return e.seen.state == State::alive; };
     auto at = std::find_if(from, peers_.end(), here);
     if (at == peers_.end()) at = std::find_if(peers_.begin(), from, here);
     return at == peers_.end() || !here(*at) ? 0 : at->seen.key;
@@ -304,11 +306,9 @@
 
 void Membership::missed(const Probe& p, Millis now, FleetActions& actions) {
     if (p.why == Probe::Why::recheck) return;
-    // Helpers that say nothing either: perhaps it is we who are not heard (Lifeguard).
-    if (p.why == Probe::Why::turn) {
-        const unsigned silent = p.nacks_wanted - std::min(p.nacks_wanted, p.nacks);
-        doubt_ = std::min(tuning_.most_doubt, doubt_ + (p.nacks_wanted == 0 ? 1 : silent));
-    }
+    // No helper says anything either: perhaps it is we who are not heard (Lifeguard). One that answers shows
+    // that we are; behind a cut some never do, which is no slowness of ours.
+    if (p.why == Probe::Why::turn && p.nacks == 0) doubt_ = std::min(tuning_.most_doubt, doubt_ + 1);
     Entry& e = *find(p.target);
     if (e.seen.incarnation == 0 || e.seen.state >= State::failed) return;
     if (now < e.trusted_until) return;
@@ -607,9 +607,10 @@
     const Millis silence = now - heard_at_;
     const bool ever =
         std::any_of(peers_.begin(), peers_.end(), [](const Entry& e) { return e.seen.heard_at >= 0; });
-    Standing to = 2 * alive() > size() ? Standing::joined : Standing::minority;
-    if (size() > 1 && (!ever || silence > tuning_.silence * settings_.period * (1 + doubt_ / 4.0)))
-        to = Standing::alone;
+    // Whoever is suspected is not heard: after a cut it takes long until the whole other side has failed.
+    Standing to =
+        2 * (tuning_.suspects_count ? alive() : heard()) > size() ? Standing::joined : Standing::minority;
+    if (size() > 1 && (!ever || silence > tuning_.silence * settings_.period)) to = Standing::alone;
     if (to != leaning_) leaning_ = to, leaning_since_ = now;
     if (to == standing_) return;
     // Silence has lasted by itself, and any word ends it; a majority that comes and goes has to stay.
--- a/src/fleet/membership.hpp
+++ b/src/fleet/membership.hpp
@@ -58,6 +58,7 @@
     bool old_lives_count = false;    // what an earlier life says is taken
     bool forgives_itself = true;     // a process that stood still moves its suspicions on
     bool deaf_fails_others = false;  // who hears nobody lets suspicions end
+    bool suspects_count = false;     // as heard, for the standing
 };
 
 struct MembershipSettings {
@@ -135,6 +136,7 @@
     };
     std::size_t size() const { return peers_.size() + 1; }  // of the configured fleet, self included
     std::size_t alive() const { return alive_ + 1; }        // alive or suspect, self included
+    std::size_t heard() const { return alive() - suspects_.size(); }
     std::vector<Peer> peers() const;
     std::optional<Peer> peer(Key key) const;
 
--- a/tests/unit/membership_bounds_test.cpp
+++ b/tests/unit/membership_bounds_test.cpp
@@ -167,13 +167,33 @@
     w.passes = [](std::size_t from, std::size_t to) {
         return (from < 3) == (to < 3) && from != 8 && to != 8;
     };
-    w.run(w.now() + 25 * P);
-    for (std::size_t i = 0; i < 9; ++i) {
-        const Standing due = i < 3 ? Standing::minority : i < 8 ? Standing::joined : Standing::alone;
-        if (w.at(i).standing() != due)
-            return std::to_string(i) + " is " + std::string(name_of(w.at(i).standing()));
-    }
-    return "";
+    const auto wrong = [&]() -> Seen {
+        for (std::size_t i = 0; i < 9; ++i) {
+            const Standing due = i < 3 ? Standing::minority : i < 8 ? Standing::joined : Standing::alone;
+            if (w.at(i).standing() != due)
+                return std::to_string(i) + " is " + std::string(name_of(w.at(i).standing()));
+        }
+        return "";
+    };
+    // Silence is 4P, and looked at once a round.
+    if (!w.run_until([&] { return w.at(8).standing() == Standing::alone; }, w.now() + 5.1 * P))
+        return "who hears nobody says " + std::string(name_of(w.at(8).standing()));
+    if (!w.run_until([&] { return wrong().empty(); }, w.now() + 10 * P)) return wrong();
+    w.run(w.now() + 20 * P);
+    return wrong();
+}
+
+// A majority that loses a third keeps its standing throughout, also where much is lost.
+Seen majority(const Tuning& tuning, std::uint64_t seed) {
+    Started w(options(30, 0.3, seed, tuning));
+    w.run(w.now() + 10 * P);
+    std::size_t falls = 0;
+    w.on_standing = [&](std::size_t at, const fleet::StandingChanged& c) {
+        falls += at < 20 && c.from == Standing::joined;
+    };
+    w.passes = [](std::size_t from, std::size_t to) { return (from < 20) == (to < 20); };
+    w.run(w.now() + 60 * P);
+    return falls == 0 ? "" : std::to_string(falls) + " of a majority fell";
 }
 
 Seen times_to_come(const Tuning& tuning, std::uint64_t seed) {
@@ -234,7 +254,12 @@
         {"standing",
          standing,
          {{"never a minority", [](Tuning& t) { t.fall_after = 1000; }},
-          {"never alone", [](Tuning& t) { t.silence = 1000; }}}},
+          {"never alone", [](Tuning& t) { t.silence = 1000; }},
+          {"the suspected count as heard", [](Tuning& t) { t.suspects_count = true; }}}},
+        {"majority",
+         majority,
+         {{"a suspicion takes one ping",
+           [](Tuning& t) { t.pings = 1, t.helpers = 0, t.indirect = 0.1, t.fall_after = 0; }}}},
         {"times_to_come", times_to_come, {{"any time", [](Tuning& t) { t.ahead = 1e15; }}}},
         {"contradictions", contradictions, {{"at once", [](Tuning& t) { t.refute_every = 0; }}}},
     };
--- a/tests/unit/membership_walk_test.cpp
+++ b/tests/unit/membership_walk_test.cpp
@@ -31,8 +31,8 @@
 constexpr Millis kLeastSuspicion = 2 * P;
 // From what its view says to its standing: 2 P to fall and 1 P to rise, looked at once a round.
 constexpr Millis kFalls = 3.1 * P, kRises = 2.1 * P;
-// Silence of 4 P means alone, up to three times that where it doubts itself.
-constexpr Millis kSilence = 13.1 * P;
+// Silence of 4 P means alone.
+constexpr Millis kSilence = 5.1 * P;
 constexpr Incarnation kEpoch = 1700000000000;
 constexpr std::size_t kMembers = 3;
 
@@ -325,7 +325,7 @@
     }
     void look_at_standing(std::size_t i) {
         Node& node = nodes_[i];
-        const bool majority = 2 * node.membership->alive() > kMembers;
+        const bool majority = 2 * node.membership->heard() > kMembers;
         if (majority != node.majority) node.leaning_since = now_;
         node.majority = majority;
         if (now_ < node.excused_until) return;
