The time from a probe to a suspicion, and disputes of a name, are checked as bounds

Need: both stood in the design computed or tested alone, without a variant that breaks them. Change: two checks among the bounds; how often a dispute is told is a tuning, so that a variant can tell it each time or never.

--- a/src/fleet/membership.cpp
+++ b/src/fleet/membership.cpp
@@ -487,7 +487,7 @@
     if (r.incarnation < incarnation_ || (r.incarnation == incarnation_ && r.state == State::alive)) return;
     // A later life than ours, long after our start, is no memory of ours.
     // Told once in a while: the two of them contradict one another several times a P.
-    const Millis quiet_for = 10 * settings_.period;
+    const Millis quiet_for = tuning_.dispute_every * settings_.period;
     if (!ours && now > began_at_ + quiet_for && now >= disputed_at_ + quiet_for) {
         disputed_at_ = now;
         actions.emplace_back(Disputed{r.incarnation});
--- a/src/fleet/membership.hpp
+++ b/src/fleet/membership.hpp
@@ -49,6 +49,7 @@
     Millis ahead = 24 * 3600 * 1000.0;  // rumours of a life later than this beyond our time are absurd
     std::size_t most_errands = 32, most_probes = 16;
     double refute_every = 0.25;  // at most
+    double dispute_every = 10;   // told of another process under our name, at most
     // Standing: how long it has to point elsewhere before it changes; and silence from all that means alone.
     double fall_after = 2, rise_after = 1, silence = 4;
     // A tick that comes so much too late: we have stood still, and what we believe is old.
@@ -85,7 +86,7 @@
 struct StandingChanged {
     Standing from = Standing::alone, to = Standing::alone;
 };
-// Another process speaks under our name, or a rumour says so. Once in 10 P at most.
+// Another process speaks under our name, or a rumour says so. Told once in a while.
 struct Disputed {
     Incarnation theirs = 0;
 };
--- a/tests/unit/membership_bounds_test.cpp
+++ b/tests/unit/membership_bounds_test.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <functional>
+#include <map>
 
 #include "fleet_world.hpp"
 
@@ -46,6 +47,55 @@
     return "";
 }
 
+// From a member's ping of one that has gone until that member suspects it, by its doubt in itself then. Who
+// has had an ack of it within tuning.grace of the end of that probe lets it pass.
+Seen probe_to_suspicion(const Tuning& tuning, std::uint64_t seed) {
+    Started w(options(12, 0.05, seed, tuning));
+    std::map<std::size_t, Millis> acked, due;  // by whom
+    std::set<std::pair<std::size_t, std::uint32_t>> passed;
+    std::set<std::size_t> asked;  // to ping it for another
+    w.takes = [&](std::size_t from, std::size_t to, const auto& bytes) {
+        const auto read = fleet::decode(bytes, fleet::key_of("simulated"));
+        if (from == 4 && read.datagram->kind == fleet::Kind::ack) acked[to] = w.now() + 5;
+        if (read.datagram->kind == fleet::Kind::ask && read.datagram->target == w.key(4)) asked.insert(to);
+        if (to != 4 || w.up(4) || asked.contains(from) || read.datagram->kind != fleet::Kind::ping)
+            return false;
+        const Millis end = w.now() + 0.75 * P * (1 + w.at(from).doubt());
+        if (acked.contains(from) && end <= acked[from] + 2 * P) passed.emplace(from, read.datagram->number);
+        if (!passed.contains({from, read.datagram->number})) due.emplace(from, end);
+        return false;
+    };
+    w.run(w.now() + 10 * P);
+    w.kill(4);
+    const Millis killed = w.now();
+    Seen late;
+    w.run_until(
+        [&] {
+            for (const auto& [by, until] : due)
+                if (w.now() > until + 20 && w.at(by).peer(w.key(4))->state == State::alive)
+                    late = std::to_string(by) + " holds it alive too long";
+            return !late.empty();
+        },
+        killed + 12 * P, 10);
+    return due.empty() ? "nobody pinged it" : late;
+}
+
+// Two processes of one name, which hear what is said of it in turn.
+Seen disputes(const Tuning& tuning, std::uint64_t seed) {
+    Started w(options(8, 0, seed, tuning));
+    w.run(w.now() + 20 * P);
+    const auto before = w.counts().disputed;
+    const fleet::Incarnation later = w.at(3).incarnation() + 50000;
+    for (int i = 0; i < 40; ++i) {
+        fleet::Rumour twin = Liar{w, 1}.of(3, State::alive);
+        twin.incarnation = later + static_cast<fleet::Incarnation>(i) * 1000;
+        Liar{w, 1}.say(3, {twin});
+        w.run(w.now() + P);
+    }
+    const auto told = w.counts().disputed - before;
+    return told >= 1 && told <= 5 ? "" : "told " + std::to_string(told) + " times in 40 P";
+}
+
 Seen nobodys_word_alone(const Tuning& tuning, std::uint64_t seed) {
     Started w(options(15, 0, seed, tuning));
     Liar liar{w, 6};
@@ -231,6 +281,13 @@
 const std::vector<Bound>& bounds() {
     static const std::vector<Bound> all = {
         {"detection", detection, {{"a suspicion of 12 P", [](Tuning& t) { t.suspicion_least = 12; }}}},
+        {"probe_to_suspicion",
+         probe_to_suspicion,
+         {{"a probe of 1.5 P", [](Tuning& t) { t.indirect = 1.5; }}}},
+        {"disputes",
+         disputes,
+         {{"each time", [](Tuning& t) { t.dispute_every = 0; }},
+          {"never", [](Tuning& t) { t.dispute_every = 1e6; }}}},
         {"nobodys_word_alone",
          nobodys_word_alone,
          {{"hearsay ends", [](Tuning& t) { t.hearsay_ends = true; }}}},
