--- a/tests/tier/control_plane/membership_test.cpp
+++ b/tests/tier/control_plane/membership_test.cpp
@@ -42,6 +42,9 @@
     EXPECT_EQ(members.of_role(wire::NodeRole::edge, kStart, Span(10)).size(), 1U);
     EXPECT_EQ(members.of_role(wire::NodeRole::control, kStart + Span(11), Span(10)).size(), 0U);
     EXPECT_EQ(members.storages().size(), 1U);
+    EXPECT_EQ(members.count_of_role(wire::NodeRole::edge, kStart + Span(10), Span(10)), 1U);
+    EXPECT_EQ(members.count_of_role(wire::NodeRole::edge, kStart + Span(11), Span(10)), 0U);
+    EXPECT_EQ(members.count_of_role(wire::NodeRole::storage, kStart, Span(10)), 1U);
 }
 
 TEST(Membership, NewIdentityBeginsAnew) {
@@ -65,6 +68,30 @@
     EXPECT_EQ(members.storages()[0].last, kStart + Span(1400));
 }
 
+TEST(Membership, WhatAStorageProcessHoldsIsPassedOn) {
+    wire::WatchRequest request = watch(info("a", 1));
+    wire::StorageProgress progress;
+    progress.lacking_turns = 5;
+    request.__set_storage_progress(progress);
+    Membership members;
+    members.hear(request, kStart);
+    const std::vector<wire::SeenStorage> seen = members.seen_storages(kStart, Span(100));
+    ASSERT_EQ(seen.size(), 1U);
+    Membership others;
+    others.hear_of(seen[0], kStart);
+    ASSERT_EQ(others.storages().size(), 1U);
+    EXPECT_EQ(others.storages()[0].storage_progress, progress);
+}
+
+TEST(Membership, WhatAnEarlierBuildDoesNotTellIsNotMadeUp) {
+    Membership members;
+    members.hear(watch(info("a", 1)), kStart);
+    EXPECT_FALSE(members.storages()[0].storage_progress);
+    EXPECT_FALSE(members.seen_storages(kStart, Span(100))[0].__isset.storage_progress);
+    members.hear_of(seen(info("b", 2), 0, ""), kStart);
+    EXPECT_FALSE(members.storages()[1].storage_progress);
+}
+
 TEST(Membership, HearsayIsNotPassedOn) {
     Membership members;
     members.hear_of(seen(info("a", 1), 0, ""), kStart);
--- a/tests/tier/ctl/page_text_test.cpp
+++ b/tests/tier/ctl/page_text_test.cpp
@@ -37,6 +37,27 @@
               "y   -\n");
 }
 
+TEST(PageText, ReplicasAreATableOfWhatEachHoldsAndLacks) {
+    EXPECT_EQ(
+        page_text(
+            R"({"epoch":3,"members":[)"
+            R"({"node":"storage-1","zone":"n","state":"member","identity":7,"heardMsAgo":40,"voting":true,)"
+            R"("heldTurns":900,"heldBytes":70000,"lackingTurns":0,"unfollowedMembers":0,)"
+            R"("repairTakenBytes":0,"repairGivenBytes":512},)"
+            R"({"node":"storage-2","zone":"s","state":"member","identity":8,"heardMsAgo":90,"voting":null,)"
+            R"("heldTurns":null,"heldBytes":null,"lackingTurns":null,"unfollowedMembers":null,)"
+            R"("repairTakenBytes":null,"repairGivenBytes":null}],"retired":["storage-9"]})"),
+        "epoch: 3\n"
+        "members:\n"
+        "node       state   zone  identity  heardMsAgo  heldBytes  heldTurns  lackingTurns  repairGivenBytes"
+        "  repairTakenBytes  unfollowedMembers  voting\n"
+        "storage-1  member  n     7         40          70000      900        0             512             "
+        "  0                 0                  yes\n"
+        "storage-2  member  s     8         90          -          -          -             -               "
+        "  -                 -                  -\n"
+        "retired: storage-9\n");
+}
+
 TEST(PageText, WhatIsNoObjectIsLeftAsItIs) {
     for (const char* text : {"", "[1]", "<html>", "{"}) EXPECT_EQ(page_text(text), std::string(text) + "\n");
 }
--- a/tests/tier/lab/trial_test.cpp
+++ b/tests/tier/lab/trial_test.cpp
@@ -112,6 +112,25 @@
     EXPECT_GT(with(TroubleKind::proxy_restart).tries.failed, 0U);
 }
 
+// Two proxies that know nothing of each other's sends fill one server's memory over and over: it preempts,
+// what is preempted is read anew and ends, and nothing is lost.
+TEST(LabTrial, TwoProxiesThatRunAServersMemoryOver) {
+    Experiment experiment = small_experiment();
+    experiment.deployment.proxies = 2;
+    experiment.deployment.model_servers = 1;
+    experiment.deployment.model.memory_tokens = 30000;
+    std::uint64_t preempted = 0;
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        SCOPED_TRACE(seed);
+        const Measures measures = run_trial(experiment, arm("all"), seed);
+        expect_whole(measures);
+        preempted += measures.preempted;
+        EXPECT_GT(measures.kinds[0].in_time, 0U);
+        EXPECT_EQ(measures.attempts.lost, 0U);
+    }
+    EXPECT_GT(preempted, 0U);
+}
+
 // The planted worse arm: servers drawn at random read prompts anew, and wait for it.
 TEST(LabTrial, RandomPlacementComesOutWorse) {
     Experiment experiment = small_experiment();
--- a/tests/tier/node/settings_test.cpp
+++ b/tests/tier/node/settings_test.cpp
@@ -1,6 +1,11 @@
 #include "node/settings.hpp"
 
 #include <gtest/gtest.h>
+#include <unistd.h>
+
+#include <cstdio>
+#include <fstream>
+#include <string>
 
 namespace whinledge::node {
 namespace {
@@ -76,6 +81,25 @@
     EXPECT_NE(read.error().message.find("WHINLEDGE_BOOT"), std::string::npos);
 }
 
+struct FileOfSettings {
+    explicit FileOfSettings(const std::string& text) { std::ofstream(path) << text; }
+    ~FileOfSettings() { std::remove(path.c_str()); }
+    std::string path = testing::TempDir() + "node_settings_test." + std::to_string(::getpid()) + ".conf";
+};
+
+TEST(NodeSettings, OverridesComeAfterTheFileAndAreHeldToTheSameBounds) {
+    const FileOfSettings file(std::string(kEdge) + "overload.boundPrograms=false");
+    EXPECT_FALSE(read_settings(file.path).value().bound_programs);
+    EXPECT_TRUE(read_settings(file.path, {"overload.boundPrograms=true"}).value().bound_programs);
+    const auto wrong = read_settings(file.path, {"overload.boundPrograms=2"});
+    ASSERT_FALSE(wrong);
+    EXPECT_EQ(wrong.error().fault, SettingsFault::bad_value);
+}
+
+TEST(NodeSettings, ProgramsAreNotBoundUnlessASettingSaysSo) {
+    EXPECT_FALSE(parse_settings(kEdge, "node.conf").value().bound_programs);
+}
+
 TEST(NodeSettings, HelpNamesEverySetting) {
     const std::string help = settings_help();
     for (const char* key : {"node", "guarantees.pass_ms", "cloudApi.perS", "dataFolder", "zones.NAME"})
--- a/tests/tier/overlay/partial_view_test.cpp
+++ b/tests/tier/overlay/partial_view_test.cpp
@@ -46,6 +46,13 @@
                       [](const Outgoing& call) { return call.request.disconnect; }));
 }
 
+// An address that is told and not linked.
+void learn_spare(PartialView& view) {
+    wire::ShuffleContacts offer;
+    offer.contacts = {contact("spare:1")};
+    view.shuffled(0, contact("n:0"), offer);
+}
+
 TEST(PartialView, JoinsThroughSeeds) {
     PartialView view(options_of("self:1"));
     Effects effects;
@@ -141,9 +148,7 @@
 TEST(PartialView, ADeadNeighbourIsReplacedFromThePassiveView) {
     PartialView view(options_of("self:1"));
     fill(view, 4);
-    wire::ShuffleContacts offer;
-    offer.contacts = {contact("spare:1")};
-    view.shuffled(0, contact("n:0"), offer);
+    learn_spare(view);
     Effects effects;
     view.link_lost(10, "n:1", effects);
     ASSERT_EQ(effects.unlinked.size(), 1U);
@@ -155,9 +160,7 @@
 TEST(PartialView, ADoubtedLinkHasAnotherSoughtMeanwhile) {
     PartialView view(options_of("self:1"));
     fill(view, 4);
-    wire::ShuffleContacts offer;
-    offer.contacts = {contact("spare:1")};
-    view.shuffled(0, contact("n:0"), offer);
+    learn_spare(view);
     Effects effects;
     view.link_doubted(10, "n:1", effects);
     EXPECT_TRUE(effects.unlinked.empty());
--- a/tests/tier/storage_map/ledger_placement_test.cpp
+++ b/tests/tier/storage_map/ledger_placement_test.cpp
@@ -147,5 +147,11 @@
     EXPECT_EQ(placement.most_in_one_group({1, 2, 3, 4}), 2u) << "of one zone never more than its turns";
 }
 
+TEST(LedgerGroupSize, IsNineUntilTwiceTheLossesAndThreeIsMore) {
+    EXPECT_EQ(ledger_group_size(0), 9);
+    EXPECT_EQ(ledger_group_size(3), 9);
+    EXPECT_EQ(ledger_group_size(4), 11);
+}
+
 }  // namespace
 }  // namespace whinledge::storage_map::test
--- a/tests/tier/versions/messages_test.cpp
+++ b/tests/tier/versions/messages_test.cpp
@@ -430,6 +430,49 @@
     EXPECT_EQ(heard.value().sequence, 40);
 }
 
+TEST(MessagesOfAnEarlierBuild, TellNothingOfWhatAMemberHolds) {
+    wire::WatchRequest watch = watch_request();
+    wire::StorageProgress progress;
+    progress.lacking_turns = 5;
+    watch.__set_storage_progress(progress);
+    const auto heard = from_other_build(watch, {false, {12}});
+    ASSERT_TRUE(heard);
+    EXPECT_EQ(heard.value(), watch_request());
+
+    wire::HelloRequest told = hello();
+    told.storages[0].__set_storage_progress(progress);
+    expect_read_from_newer(told);
+    EXPECT_FALSE(hello().storages[0].__isset.storage_progress);
+}
+
+TEST(MessagesOfAnEarlierBuild, DoNotSayHowManyProxiesThereAre) {
+    wire::WatchReply reply = watch_reply();
+    reply.__set_proxies(64);
+    expect_read_from_newer(reply);
+    const auto read = from_other_build(reply, {false, {13}});
+    ASSERT_TRUE(read);
+    EXPECT_EQ(read.value(), watch_reply());
+
+    wire::HelloRequest told = hello();
+    told.__set_watching_proxies(64);
+    expect_read_from_newer(told);
+    const auto heard = from_other_build(told, {false, {4}});
+    ASSERT_TRUE(heard);
+    EXPECT_EQ(heard.value(), hello());
+}
+
+TEST(MessagesOfAnEarlierBuild, DoNotSayHowLongTheyHaveRepaired) {
+    wire::FetchRequest fetch;
+    fetch.ids = {"9c41d07be2a35f68"};
+    EXPECT_FALSE(fetch.__isset.repairing_ms);
+    wire::FetchRequest newer = fetch;
+    newer.__set_repairing_ms(5);
+    expect_read_from_newer(newer);
+    const auto read = from_other_build(newer, {false, {5}});
+    ASSERT_TRUE(read);
+    EXPECT_EQ(read.value(), fetch);
+}
+
 TEST(MessagesOfAnEarlierBuild, HaveAProtocolVersionOfOneWhereTheySayNone) {
     const auto request = from_other_build(watch_request(), {false, {1}});
     ASSERT_TRUE(request);
--- a/tools/lab/cloud.hpp
+++ b/tools/lab/cloud.hpp
@@ -7,11 +7,11 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
-#include <unordered_set>
 #include <vector>
 
 #include "lab/experiment.hpp"
 #include "lab/measures.hpp"
+#include "lab/prompt_reads.hpp"
 #include "lab/simulation.hpp"
 
 namespace whinledge::lab {
@@ -118,11 +118,11 @@
     const Experiment& experiment_;
     Simulation& simulation_;
     Measures& measures_;
+    PromptReads reads_;
     Random random_;
     std::vector<Server> servers_;
     std::unordered_map<std::string, ServerIndex> by_address_;
     std::unordered_map<AttemptId, Attempt> attempts_;
-    std::unordered_set<std::uint64_t> parts_read_;  // or put out, by any server
     AttemptId next_ = 1;
 };
 
--- a/tools/lab/results.cpp
+++ b/tools/lab/results.cpp
@@ -3,7 +3,6 @@
 #include <utility>
 
 #include "lab/statistics.hpp"
-#include "lab/trial.hpp"
 
 namespace whinledge::lab {
 
@@ -47,7 +46,8 @@
     return made;
 }
 
-Results play(const Experiment& experiment, const std::function<void(int done, int of)>& progress) {
+Results play(const Experiment& experiment, const std::function<void(int done, int of)>& progress,
+             const TrialRunner& runner) {
     Results results{experiment, figures(experiment), {}};
     for (const Arm& arm : experiment.arms) results.arms.push_back({arm, {}, true});
     const int of = experiment.seeds * static_cast<int>(experiment.arms.size());
@@ -55,7 +55,7 @@
     for (int i = 0; i < experiment.seeds; ++i) {
         for (ArmResults& arm : results.arms) {
             Measures measures =
-                run_trial(experiment, arm.arm, experiment.first_seed + static_cast<std::uint64_t>(i));
+                runner(experiment, arm.arm, experiment.first_seed + static_cast<std::uint64_t>(i));
             arm.ends_add_up = arm.ends_add_up && measures.tries.add_up() && measures.attempts.add_up();
             arm.rows.push_back(row(experiment, std::move(measures)));
             if (progress) progress(++done, of);
--- a/tools/lab/results.hpp
+++ b/tools/lab/results.hpp
@@ -8,6 +8,7 @@
 
 #include "lab/experiment.hpp"
 #include "lab/measures.hpp"
+#include "lab/trial.hpp"
 
 namespace whinledge::lab {
 
@@ -37,8 +38,12 @@
 std::vector<Figure> figures(const Experiment& experiment);
 Row row(const Experiment& experiment, Measures measures);
 
+// Plays one trial: simulated (`run_trial`), or on processes of this machine (`run_live_trial`).
+using TrialRunner = std::function<Measures(const Experiment&, const Arm&, std::uint64_t seed)>;
+
 // Plays all arms with each seed. `progress` is told after each trial, of how many there are.
-Results play(const Experiment& experiment, const std::function<void(int done, int of)>& progress);
+Results play(const Experiment& experiment, const std::function<void(int done, int of)>& progress,
+             const TrialRunner& runner = run_trial);
 
 std::string text_report(const Results& results);
 // One file that needs nothing else.
--- a/tools/tier/http.cpp
+++ b/tools/tier/http.cpp
@@ -42,6 +42,7 @@
             continue;
         }
         socket.set_option(Tcp::no_delay(true), ignored);
+        ++self->accepted_;
         auto stream = std::make_shared<Stream>(std::move(socket));
         self->open_.insert(stream);
         begin(self->world_, serve(self, stream));
--- a/tools/tier/http.hpp
+++ b/tools/tier/http.hpp
@@ -6,6 +6,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
+#include <cstdint>
 #include <functional>
 #include <optional>
 #include <set>
@@ -32,6 +33,7 @@
     void stop();
     void start();
     std::size_t connections() const { return open_.size(); }
+    std::uint64_t accepted() const { return accepted_; }  // connections, since its start
 
 private:
     static Task<void> accept(std::shared_ptr<HttpService> self);
@@ -42,6 +44,7 @@
     Answer answer_;
     std::size_t most_;
     std::set<std::shared_ptr<Stream>> open_;
+    std::uint64_t accepted_ = 0;
     bool stopped_ = false;
 };
 
--- a/tools/tier/main.cpp
+++ b/tools/tier/main.cpp
@@ -88,23 +88,10 @@
     return value;
 }
 
-// The programs of a build; `option` names its folder. Throws UsageError where one is missing.
-Programs programs_in(const std::string& folder, const std::string& option) {
-    Programs programs{folder + "/whinledge-proxy", folder + "/whinledge-control",
-                      folder + "/whinledge-storage"};
-    for (const std::string& program : {programs.proxy, programs.control, programs.storage})
-        if (::access(program.c_str(), X_OK) != 0)
-            throw tools::UsageError("'" + program + "' is not there: build it, or name its folder with " +
-                                    option);
-    return programs;
-}
-
 int play(const tools::Words& words) {
     if (!words.alone().empty()) throw tools::UsageError("too much: " + words.alone().front());
-    const std::string bin =
-        words.get("--bin", std::filesystem::read_symlink("/proc/self/exe").parent_path().string());
     DayOptions day;
-    day.tier.programs = programs_in(bin, "--bin");
+    day.tier.programs = programs_in(words.get("--bin", own_folder()), "--bin");
     const std::string newer = words.get("--newer", "");
     if (!newer.empty()) day.tier.newer = programs_in(newer, "--newer");
     const int zones = tools::number<int>(words.get("--zones", "3"));
--- a/tools/tier/platform.cpp
+++ b/tools/tier/platform.cpp
@@ -1,5 +1,7 @@
 #include "tier/platform.hpp"
 
+#include <unistd.h>
+
 #include <nlohmann/json.hpp>
 
 namespace whinledge::tier_rig {
@@ -7,6 +9,9 @@
 
 constexpr Millis kReadinessPeriod = 1000, kReadinessLimit = 900;
 constexpr int kMissesToLeave = 2;
+constexpr int kSubnets = 250;  // 127.1 to 127.250
+constexpr std::size_t kFirstServerNet = 100;
+constexpr std::uint16_t kListPort = 18142, kServerPort = 8080;
 
 // The value of `name` in a query; empty: there is none.
 std::string query_value(const std::string& target, const std::string& name) {
@@ -173,4 +178,28 @@
     return count;
 }
 
+ClaimedNet claim_net(World& world, Platform::Options options, int subnet) {
+    const int first = subnet > 0 ? subnet : 1 + static_cast<int>(::getpid() % kSubnets);
+    ClaimedNet claimed;
+    for (int tried = 0; !claimed.platform; ++tried) {
+        claimed.subnet = 1 + (first - 1 + tried) % kSubnets;
+        const std::string net = std::string("127.").append(std::to_string(claimed.subnet));
+        options.address = {asio::ip::make_address(net + ".200.1"), kListPort};
+        claimed.options = options;
+        try {
+            claimed.platform = std::make_unique<Platform>(world, options);
+        } catch (const boost::system::system_error& error) {
+            const bool is_last = subnet > 0 || tried + 1 == kSubnets;
+            if (is_last || error.code() != asio::error::address_in_use) throw;
+        }
+    }
+    return claimed;
+}
+
+Tcp::endpoint server_endpoint(int subnet, std::size_t zone, int last) {
+    const std::string ip = std::string("127.").append(std::to_string(subnet)) + "." +
+                           std::to_string(kFirstServerNet + zone) + "." + std::to_string(last);
+    return {asio::ip::make_address(ip), kServerPort};
+}
+
 }  // namespace whinledge::tier_rig
--- a/tools/tier/platform.hpp
+++ b/tools/tier/platform.hpp
@@ -75,4 +75,17 @@
     std::uint64_t calls_ = 0, rejected_ = 0;
 };
 
+// A loopback net that a rig has to itself, 127.SUBNET: its platform's address claims it.
+struct ClaimedNet {
+    int subnet = 0;
+    std::unique_ptr<Platform> platform;
+    Platform::Options options;  // with the platform's address
+};
+// `subnet` 0: one that no other rig uses at present. Throws boost::system::system_error where that one, or
+// all of them, are taken.
+ClaimedNet claim_net(World& world, Platform::Options options, int subnet);
+
+// Address `last` of the servers in a zone, on their port.
+Tcp::endpoint server_endpoint(int subnet, std::size_t zone, int last);
+
 }  // namespace whinledge::tier_rig
--- a/tools/tier/rig.hpp
+++ b/tools/tier/rig.hpp
@@ -113,6 +113,7 @@
     Task<void> retire(std::string machine);
     Task<void> do_final_fault();
     Task<void> watch_loop();
+    void tell_controls() const;
     Task<void> tell();
     std::string pick(const std::string& target);
     std::vector<RouteSpec> routes_of(int change) const;
--- a/tools/tier/tier.cpp
+++ b/tools/tier/tier.cpp
@@ -14,6 +14,8 @@
 #include <sstream>
 #include <stdexcept>
 
+#include "words.hpp"
+
 namespace whinledge::tier_rig {
 namespace {
 
@@ -49,6 +51,26 @@
 
 }  // namespace
 
+Programs programs_in(const std::string& folder, const std::string& option) {
+    Programs programs{folder + "/whinledge-proxy", folder + "/whinledge-control",
+                      folder + "/whinledge-storage"};
+    for (const std::string& program : {programs.proxy, programs.control, programs.storage})
+        if (::access(program.c_str(), X_OK) != 0)
+            throw tools::UsageError("'" + program + "' is not there: build it, or name its folder with " +
+                                    option);
+    return programs;
+}
+
+std::string own_folder() { return std::filesystem::read_symlink("/proc/self/exe").parent_path().string(); }
+
+std::string make_run_folder(const std::filesystem::path& within) {
+    std::string pattern = within / "whinledge-tier-XXXXXX";
+    if (!::mkdtemp(pattern.data()))
+        throw std::runtime_error("no folder can be made at " + pattern +
+                                 ": make room there, or name another");
+    return pattern;
+}
+
 Tier::Tier(World& world, Platform& platform, Options options)
     : world_(world), platform_(platform), options_(std::move(options)) {
     for (std::size_t zone = 0; zone < options_.zones.size(); ++zone) {
--- a/tools/tier/tier.hpp
+++ b/tools/tier/tier.hpp
@@ -4,6 +4,7 @@
 
 #include <sys/types.h>
 
+#include <filesystem>
 #include <map>
 #include <string>
 #include <vector>
@@ -18,6 +19,14 @@
 struct Programs {  // paths
     std::string proxy, control, storage;
 };
+// Those of the build in that folder; `option` names it. Throws tools::UsageError where one is missing.
+Programs programs_in(const std::string& folder, const std::string& option);
+// The folder that has this program.
+std::string own_folder();
+
+// A new folder, for the settings, logs and disks of one run. Throws std::runtime_error where none can be
+// made.
+std::string make_run_folder(const std::filesystem::path& within);
 
 struct Ports {  // alike on all machines
     int open = 18080, ready = 18081, control = 18082, first_spare = 18100, last_spare = 18115;
