Timers whose owner is gone call nobody: LoopTimer in place of bare timers

Cause: asio cancels only waits whose time has not passed.

Change: io/loop_timer.hpp counts what is awaited and drops a handler whose timer is gone, cancelled or set anew. Used by control process, proxy, hosted services, daemon, both transports, probes, doors, control socket, peers and Wake; their own guards go.

--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -528,10 +528,7 @@
     if (fleet_) fleet_->drain();
     for (auto& [name, e] : entrances_) e->listener->drain(kAccepting);
     if (entrances_.empty() && leaving_.empty()) return asio::post(io_, [this] { finish(); });
-    drain_timer_.expires_after(span(config_.drain));
-    drain_timer_.async_wait([this](boost::system::error_code cancelled) {
-        if (!cancelled) hurry();
-    });
+    drain_timer_.after(span(config_.drain), [this] { hurry(); });
 }
 
 void Daemon::hurry() {
--- a/src/app/daemon.hpp
+++ b/src/app/daemon.hpp
@@ -3,7 +3,6 @@
 #pragma once
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <cstdint>
 #include <functional>
 #include <list>
@@ -23,6 +22,7 @@
 #include "http/web.hpp"
 #include "io/clock.hpp"
 #include "io/log.hpp"
+#include "io/loop_timer.hpp"
 #include "io/wake.hpp"
 #include "limits/gate.hpp"
 #include "route/table.hpp"
@@ -131,7 +131,7 @@
     Entrances entrances_;
     std::list<std::unique_ptr<Entrance>> leaving_;
     std::unique_ptr<Fleet> fleet_;
-    boost::asio::steady_timer drain_timer_;
+    LoopTimer drain_timer_;
     std::function<void()> drained_;
     bool draining_ = false;
 };
--- a/src/control/server.cpp
+++ b/src/control/server.cpp
@@ -153,10 +153,7 @@
         [this, here = std::weak_ptr<void>(here_)](error_code failed, Local::socket socket) {
             if (here.expired() || failed == asio::error::operation_aborted) return;
             if (failed) {  // for want of a descriptor, mostly
-                again_.expires_after(kAcceptAgain);
-                again_.async_wait([this, here](error_code cancelled) {
-                    if (!here.expired() && !cancelled) accept();
-                });
+                again_.after(kAcceptAgain, [this] { accept(); });
                 return;
             }
             make_room();
--- a/src/control/server.hpp
+++ b/src/control/server.hpp
@@ -4,7 +4,6 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/local/stream_protocol.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <list>
 #include <memory>
@@ -12,6 +11,8 @@
 #include <string>
 #include <string_view>
 
+#include "io/loop_timer.hpp"
+
 namespace whinledge::control {
 
 using Local = boost::asio::local::stream_protocol;
@@ -57,7 +58,7 @@
     std::string path_;
     Handler handler_;
     Local::acceptor acceptor_;
-    boost::asio::steady_timer again_;  // after an accept that failed
+    LoopTimer again_;  // after an accept that failed
     std::uint64_t inode_ = 0;
     std::list<std::shared_ptr<Client>> clients_;  // the one that asked last is at the end
     // Gone with this object: who had connected by then finds nobody.
--- a/src/control_plane/control_process.cpp
+++ b/src/control_plane/control_process.cpp
@@ -193,10 +193,7 @@
 void ControlProcess::set_seeds(std::vector<std::string> seeds) { seeds_ = std::move(seeds); }
 
 void ControlProcess::tick_after(Span delay) {
-    timer_.expires_after(delay);
-    timer_.async_wait([this](boost::system::error_code cancelled) {
-        if (!cancelled) tick();
-    });
+    timer_.after(delay, [this] { tick(); });
 }
 
 void ControlProcess::tick() {
@@ -486,8 +483,7 @@
 }
 
 void ControlProcess::finish_when_nothing_is_owed(Instant limit, std::function<void()> done) {
-    timer_.expires_after(kEndTick);
-    timer_.async_wait([this, limit, done = std::move(done)](boost::system::error_code) mutable {
+    timer_.after(kEndTick, [this, limit, done = std::move(done)]() mutable {
         if (http_ && http_->owed() > 0 && now() < limit)
             return finish_when_nothing_is_owed(limit, std::move(done));
         done();
--- a/src/control_plane/control_process.hpp
+++ b/src/control_plane/control_process.hpp
@@ -3,7 +3,6 @@
 #pragma once
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <functional>
 #include <memory>
@@ -22,6 +21,7 @@
 #include "control_plane/servers_list_reader.hpp"
 #include "control_plane/storage_map_reconciler.hpp"
 #include "control_plane/watch_service.hpp"
+#include "io/loop_timer.hpp"
 #include "node/settings.hpp"
 #include "overlay/overlay_service.hpp"
 #include "rpc/client.hpp"
@@ -87,7 +87,7 @@
     StorageMapReconciler reconciler_;
     OperatorApi api_;
     std::optional<HttpServer> http_;
-    boost::asio::steady_timer timer_;
+    LoopTimer timer_;
     std::minstd_rand random_{std::random_device{}()};
     Instant hello_due_{};
     bool changing_storage_ = false, stopping_ = false;
--- a/src/data_plane/proxy.cpp
+++ b/src/data_plane/proxy.cpp
@@ -197,10 +197,7 @@
     const bool others_read = situation.has_list && situation.silence <= ListPace::kSilence;
     if (list_client_.busy() && others_read) list_client_.cancel();
     if (!list_client_.busy() && list_pace_.due(clock_.now(), situation)) read_list();
-    list_timer_.expires_after(span(has_list() ? kListLookLater : kListLook));
-    list_timer_.async_wait([this](boost::system::error_code cancelled) {
-        if (!cancelled) watch_list();
-    });
+    list_timer_.after(span(has_list() ? kListLookLater : kListLook), [this] { watch_list(); });
 }
 
 void Proxy::read_list() {
@@ -241,9 +238,7 @@
     LOG(INFO) << "terminating: " << engine_.open() << " requests are open";
     ingress_->door().drain(accepting);
     if (grace <= 0) return;
-    terminate_timer_.expires_after(span(kHurryShare * grace));
-    terminate_timer_.async_wait([this](boost::system::error_code cancelled) {
-        if (cancelled) return;
+    terminate_timer_.after(span(kHurryShare * grace), [this] {
         LOG(WARNING) << "the grace is nearly over: " << engine_.open() << " requests fail";
         ingress_->door().hurry();
         engine_.hurry();
--- a/src/data_plane/proxy.hpp
+++ b/src/data_plane/proxy.hpp
@@ -3,7 +3,6 @@
 #pragma once
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -23,6 +22,7 @@
 #include "http/transport.hpp"
 #include "io/clock.hpp"
 #include "io/log.hpp"
+#include "io/loop_timer.hpp"
 #include "io/wake.hpp"
 #include "node/settings.hpp"
 #include "rpc/client.hpp"
@@ -80,12 +80,12 @@
     std::shared_ptr<const serving::Configuration> in_force_;
     feed::ServersListClient list_client_;
     ListPace list_pace_;
-    boost::asio::steady_timer list_timer_;
+    LoopTimer list_timer_;
     std::uint64_t own_readings_ = 0, own_failures_ = 0;
     int own_reading_calls_ = 0;  // that the latest took; 0: none yet
     std::optional<Readiness> readiness_;
     std::optional<Ingress> ingress_;
-    boost::asio::steady_timer terminate_timer_;
+    LoopTimer terminate_timer_;
     std::function<void()> terminated_;
     bool terminating_ = false;
 };
--- a/src/http/transport.cpp
+++ b/src/http/transport.cpp
@@ -7,6 +7,7 @@
 #include "http/call.hpp"
 #include "io/address.hpp"
 #include "io/clock.hpp"
+#include "io/loop_timer.hpp"
 
 namespace whinledge {
 
@@ -55,7 +56,7 @@
 void HttpTransport::probe(PoolId, MachineId machine, Millis timeout, Listener& listener) {
     Upstream::Request ping;
     ping.head = HeadText::request("GET", "/ping").add("Host", "ping").whole();
-    const auto timer = std::make_shared<boost::asio::steady_timer>(io_, span(timeout));
+    const auto timer = std::make_shared<LoopTimer>(io_);
     const auto told = [machine, timer, &listener](Outcome outcome) {
         timer->cancel();
         listener.probe_ended(machine, outcome);
@@ -63,8 +64,8 @@
     const auto [exchange, ended] = upstream_.start(
         machine, std::move(ping), [told](Outcome outcome, const auto&, const auto&) { told(outcome); });
     if (ended) return told(*ended);
-    timer->async_wait([this, told, exchange = exchange](boost::system::error_code cancelled) {
-        if (!cancelled) told(upstream_.stop(exchange) ? Outcome::overdue : Outcome::refused_connection);
+    timer->after(span(timeout), [this, told, exchange = exchange] {
+        told(upstream_.stop(exchange) ? Outcome::overdue : Outcome::refused_connection);
     });
 }
 
--- a/src/http/transport.hpp
+++ b/src/http/transport.hpp
@@ -2,7 +2,6 @@
 #pragma once
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <string>
 #include <unordered_map>
 #include <utility>
--- a/src/http/upstream.cpp
+++ b/src/http/upstream.cpp
@@ -8,7 +8,6 @@
 
 #include "http/server_connection.hpp"
 #include "io/clock.hpp"
-#include "io/insist.hpp"
 
 namespace whinledge {
 
@@ -100,12 +99,7 @@
 
 // Closes what has been idle for too long.
 void Upstream::sweep() {
-    sweep_timer_.expires_after(span(kSweep));
-    insist([this] {
-        sweep_timer_.async_wait([this](error_code cancelled) {
-            if (!cancelled) sweep();
-        });
-    });
+    sweep_timer_.after(span(kSweep), [this] { sweep(); });
     const auto now = std::chrono::steady_clock::now();
     std::vector<ConnectionPtr> over;
     for (const auto& [id, server] : servers_)
--- a/src/http/upstream.hpp
+++ b/src/http/upstream.hpp
@@ -4,7 +4,6 @@
 #include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/http.hpp>
 #include <chrono>
 #include <functional>
@@ -22,6 +21,7 @@
 #include "io/address.hpp"
 #include "io/connection_budget.hpp"
 #include "io/log.hpp"
+#include "io/loop_timer.hpp"
 #include "io/open_socket.hpp"
 
 namespace whinledge {
@@ -173,7 +173,7 @@
     ExchangeId next_exchange_ = 1;
     std::uint64_t next_life_ = 1;
     Stats stats_;
-    boost::asio::steady_timer sweep_timer_;
+    LoopTimer sweep_timer_;
     std::array<char, 16 * 1024> scratch_{};  // what is read, before it is a connection's own
 };
 
--- a/src/io/wake.hpp
+++ b/src/io/wake.hpp
@@ -1,14 +1,13 @@
 // Wakes somebody on the loop at a time of the program's clock.
 #pragma once
 
-#include <boost/asio/steady_timer.hpp>
 #include <cmath>
 #include <functional>
 #include <limits>
 #include <utility>
 
 #include "io/clock.hpp"
-#include "io/insist.hpp"
+#include "io/loop_timer.hpp"
 
 namespace whinledge {
 
@@ -21,13 +20,9 @@
     void at(Millis time) {
         if (!(time < armed_)) return;
         armed_ = std::numeric_limits<Millis>::infinity();
-        timer_.expires_at(clock_.when(time));
-        insist([this] {
-            timer_.async_wait([this](boost::system::error_code cancelled) {
-                if (cancelled) return;
-                armed_ = std::numeric_limits<Millis>::infinity();
-                wake_();
-            });
+        timer_.at(clock_.when(time), [this] {
+            armed_ = std::numeric_limits<Millis>::infinity();
+            wake_();
         });
         armed_ = time;
     }
@@ -35,7 +30,7 @@
 private:
     const Clock& clock_;
     std::function<void()> wake_;
-    boost::asio::steady_timer timer_;
+    LoopTimer timer_;
     Millis armed_ = std::numeric_limits<Millis>::infinity();  // when the timer fires
 };
 
--- a/src/ldap/transport.cpp
+++ b/src/ldap/transport.cpp
@@ -7,7 +7,6 @@
 #include <utility>
 
 #include "io/clock.hpp"
-#include "io/insist.hpp"
 #include "ldap/server_connection.hpp"
 
 namespace whinledge::ldap {
@@ -91,12 +90,7 @@
 }
 
 void LdapTransport::sweep() {
-    sweep_timer_.expires_after(span(kSweep));
-    insist([this] {
-        sweep_timer_.async_wait([this](error_code cancelled) {
-            if (!cancelled) sweep();
-        });
-    });
+    sweep_timer_.after(span(kSweep), [this] { sweep(); });
     const auto now = Steady::now();
     for (const ConnectionPtr& connection : all()) connection->sweep(now);
 }
--- a/src/ldap/transport.hpp
+++ b/src/ldap/transport.hpp
@@ -4,7 +4,6 @@
 #include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <map>
 #include <memory>
@@ -16,6 +15,7 @@
 #include "engine/transport.hpp"
 #include "io/connection_budget.hpp"
 #include "io/log.hpp"
+#include "io/loop_timer.hpp"
 #include "io/open_socket.hpp"
 #include "ldap/call.hpp"
 #include "ldap/tls.hpp"
@@ -100,7 +100,7 @@
     ExchangeId next_exchange_ = 1;
     std::uint64_t next_life_ = 1;
     Stats stats_;
-    boost::asio::steady_timer sweep_timer_;
+    LoopTimer sweep_timer_;
     std::array<char, 16 * 1024> scratch_{};
     const std::shared_ptr<LdapTransport*> self_ = std::make_shared<LdapTransport*>(this);
 };
--- a/src/listen/door.cpp
+++ b/src/listen/door.cpp
@@ -238,12 +238,7 @@
 
 // Ends what has had its time.
 void Door::sweep() {
-    sweep_timer_.expires_after(span(kSweep));
-    insist([this] {
-        sweep_timer_.async_wait([this, alive = alive()](error_code cancelled) {
-            if (!cancelled && !alive.expired()) sweep();
-        });
-    });
+    sweep_timer_.after(span(kSweep), [this] { sweep(); });
     const Millis now = this->now();
     for (const GuestPtr& guest : all())
         if (guest->overdue(now)) guest->finishing_ ? guest->linger_over(now) : guest->out_of_time();
@@ -281,12 +276,7 @@
 // who wait behind them.
 void Door::pause() {
     const Millis patience = places_.patience(now()).value_or(kAcceptPause);
-    timer_.expires_after(span(std::min(kAcceptPause, patience)));
-    insist([this] {
-        timer_.async_wait([this, alive = alive()](error_code cancelled) {
-            if (!cancelled && !alive.expired()) accept();
-        });
-    });
+    timer_.after(span(std::min(kAcceptPause, patience)), [this] { accept(); });
 }
 
 Door::GuestPtr Door::accepted(Tcp::socket socket) {
@@ -360,10 +350,7 @@
     if (draining_) return;
     draining_ = true;
     if (accepting <= 0) return stop_accepting();
-    drain_timer_.expires_after(span(accepting));
-    drain_timer_.async_wait([this, alive = alive()](error_code cancelled) {
-        if (!cancelled && !alive.expired()) stop_accepting();
-    });
+    drain_timer_.after(span(accepting), [this] { stop_accepting(); });
 }
 
 // What the machine has accepted by now is taken, as far as it is whole.
@@ -402,9 +389,8 @@
 void Door::hurry() {
     if (std::exchange(hurried_, true)) return;
     stop_accepting();
-    drain_timer_.expires_after(span(kHaste));
-    drain_timer_.async_wait([this, alive = alive()](error_code cancelled) {
-        if (!cancelled && !alive.expired() && drained_) std::exchange(drained_, nullptr)();
+    drain_timer_.after(span(kHaste), [this] {
+        if (drained_) std::exchange(drained_, nullptr)();
     });
 }
 
--- a/src/listen/door.hpp
+++ b/src/listen/door.hpp
@@ -5,7 +5,6 @@
 #include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <limits>
 #include <memory>
@@ -15,6 +14,7 @@
 #include <vector>
 
 #include "engine/time_source.hpp"
+#include "io/loop_timer.hpp"
 #include "limits/places.hpp"
 
 namespace whinledge {
@@ -176,9 +176,9 @@
     std::function<void(const std::string&)> log_;
     Budget budget_;
     const TimeSource& clock_;
-    boost::asio::steady_timer timer_;  // of the next try to accept
-    boost::asio::steady_timer sweep_timer_;
-    boost::asio::steady_timer drain_timer_;
+    LoopTimer timer_;  // of the next try to accept
+    LoopTimer sweep_timer_;
+    LoopTimer drain_timer_;
     Places places_;
     std::unordered_map<Places::Id, GuestPtr> guests_;
     Places::Id next_guest_ = 1;
--- a/src/peers/peers.cpp
+++ b/src/peers/peers.cpp
@@ -77,12 +77,7 @@
 // A socket that fails may do so each time, and at once.
 void Peers::receive_later() {
     ++counts_.failed;
-    pause_.expires_after(span(kPause));
-    insist([this] {
-        pause_.async_wait([this, here = std::weak_ptr<void>(here_)](error_code cancelled) {
-            if (!cancelled && !here.expired()) receive();
-        });
-    });
+    pause_.after(span(kPause), [this] { receive(); });
 }
 
 }  // namespace whinledge
--- a/src/peers/peers.hpp
+++ b/src/peers/peers.hpp
@@ -4,7 +4,6 @@
 #include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -15,6 +14,7 @@
 #include "engine/types.hpp"
 #include "io/address.hpp"
 #include "io/log.hpp"
+#include "io/loop_timer.hpp"
 
 namespace whinledge {
 
@@ -50,7 +50,7 @@
 
     Log& log_;
     Udp::socket socket_;
-    boost::asio::steady_timer pause_;
+    LoopTimer pause_;
     std::vector<Udp::endpoint> peers_;
     std::unordered_map<Udp::endpoint, std::uint32_t, Hash> by_address_;
     std::optional<Udp::endpoint> all_;
--- a/src/programs/hosted_service.cpp
+++ b/src/programs/hosted_service.cpp
@@ -4,7 +4,6 @@
 #include <glog/logging.h>
 
 #include <boost/asio/signal_set.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <csignal>
 #include <cstdlib>
@@ -13,6 +12,7 @@
 #include <utility>
 #include <vector>
 
+#include "io/loop_timer.hpp"
 #include "programs/settings_watch.hpp"
 
 namespace whinledge::programs {
@@ -79,9 +79,7 @@
     }
 
     void look() {
-        timer_.expires_after(kLook);
-        timer_.async_wait([this](boost::system::error_code cancelled) {
-            if (cancelled) return;
+        timer_.after(kLook, [this] {
             if (watch_.has_changed()) read_again();
             if (++looks_ % kLooksBetweenCounters == 0) tell_counters();
             look();
@@ -109,7 +107,7 @@
     std::vector<std::string> overrides_;  // of the settings in the file
     boost::asio::io_context io_{1};
     boost::asio::signal_set ends_, hangups_;
-    boost::asio::steady_timer timer_;
+    LoopTimer timer_;
     SettingsWatch watch_;
     std::unique_ptr<HostedService> service_;
     std::string told_;
