--- a/tests/tier/data_plane/edge_rig.hpp
+++ b/tests/tier/data_plane/edge_rig.hpp
@@ -64,6 +64,10 @@
     }
     void send(const std::string& bytes) { boost::asio::write(socket_, boost::asio::buffer(bytes)); }
     void close() { socket_.close(); }
+    void reset() {
+        socket_.set_option(boost::asio::socket_base::linger(true, 0));
+        socket_.close();
+    }
 
     const std::string& heard() const { return state_->heard; }
     bool ended() const { return state_->ended; }
@@ -151,12 +155,13 @@
                       }};
     std::shared_ptr<const serving::Configuration> in_force;
     bool drained = false;
+    Tcp::endpoint listen_at = whinledge::test::any_port;  // of the ingress
     std::optional<Ingress> ingress;
     std::list<RawClient> clients;
 
     void SetUp() override {
         Ingress::Options options;
-        options.listen = whinledge::test::any_port;
+        options.listen = listen_at;
         ingress.emplace(
             io, options, host, [this] { return in_force; }, [this] { drained = true; });
     }
