At the end of the grace a turn that is being begun is refused, and reaches no server

Cause: Engine::hurry() ends what pools have taken. A turn whose beginning the ledger has been asked for is in none: its client was told nothing until the process ended, half a second later, and where the ledger answered within that its prompt was sent to a server that nobody would hear the answer of. The same silence had a request that waited for a first configuration. Change: Door::hurry() tells its guests; the ingress refuses both with 503 and Retry-After, which is true, as nothing was sent; a beginning that comes later is settled as never run.

--- a/src/data_plane/exchange.cpp
+++ b/src/data_plane/exchange.cpp
@@ -79,6 +79,7 @@
                   route_keeps_s > 0 ? route_keeps_s : kLedgerKeptForS, chunk_tokens,
                   request_.route->remembered ? Turn::Kept::record : Turn::Kept::tokens_only);
     stage_from_ = host_.clock.now();
+    beginning_ = true;
     host_.turns.begin(
         turn_->start(), kBeginShare * time_left(),
         [self = shared_from_this()](storage_plane::BegunTurn turn) { self->begun(std::move(turn)); });
@@ -105,6 +106,7 @@
 
 void Exchange::begun(storage_plane::BegunTurn turn) {
     using storage_plane::BeginStatus;
+    beginning_ = false;
     turn_open_ = turn.status == BeginStatus::ok;
     if (!client_) return settle(false);
     if (turn_open_) {
@@ -165,6 +167,12 @@
     return last == split.rend() ? split.back().service : last->service;
 }
 
+void Exchange::hurry() noexcept {
+    if (!beginning_ || !client_) return;
+    ++host_.counters.refused;
+    end([](AnswerSink& client) { client.own(503, kRetryIn); });
+}
+
 void Exchange::leave() noexcept {
     if (!release_client()) return;
     ++host_.counters.left;
--- a/src/data_plane/exchange.hpp
+++ b/src/data_plane/exchange.hpp
@@ -80,6 +80,9 @@
 
     // Its client is answered from here on, perhaps before this returns.
     void start();
+    // The process ends in a moment: while its turn is being begun it is refused, and no server is asked. What
+    // has gone to its service's pool ends there (Engine::hurry).
+    void hurry() noexcept;
     // Its client has gone, or its connection can't be written to.
     void leave() noexcept;
 
@@ -137,6 +140,7 @@
     Millis deadline_;
     std::string service_;
     std::optional<Turn> turn_;
+    bool beginning_ = false;                          // the ledger has been asked to begin its turn
     bool turn_open_ = false;                          // begun, and neither ended nor settled
     Millis stage_from_ = 0;                           // when the turn's beginning or its end was asked for
     std::optional<placement::AwaitedEvent> awaited_;  // its first event, from asking its service's pool on
--- a/src/data_plane/ingress.cpp
+++ b/src/data_plane/ingress.cpp
@@ -63,6 +63,10 @@
         if (const auto request = std::exchange(unrouted_, nullptr)) return own(503, kNotYet);
         phase_ == Phase::idle ? finish(false) : close();
     }
+    void hurried() override {
+        if (const auto request = std::exchange(unrouted_, nullptr)) return own(503, kNotYet);
+        if (const auto exchange = exchange_) exchange->hurry();
+    }
     // ---- AnswerSink ---------------------------------------------------------------------------------------
 
     void whole(HttpAnswer& answer) override {
--- a/src/listen/door.cpp
+++ b/src/listen/door.cpp
@@ -386,9 +386,19 @@
     }
 }
 
+void Door::hurried(const GuestPtr& guest) {
+    try {
+        guest->hurried();
+    } catch (const std::exception&) {
+        guest->broken();
+    }
+}
+
 void Door::hurry() {
     if (std::exchange(hurried_, true)) return;
     stop_accepting();
+    for (const GuestPtr& guest : all())
+        if (!guest->finishing_) hurried(guest);
     drain_timer_.after(span(kHaste), [this] {
         if (drained_) std::exchange(drained_, nullptr)();
     });
--- a/src/listen/door.hpp
+++ b/src/listen/door.hpp
@@ -38,6 +38,8 @@
         // Accepting ends: all that has come of a request is read, what is not whole then is refused. Who says
         // nothing is ended in good order: a request that crosses this is never sent on.
         virtual void last_chance() = 0;
+        // The process ends in a moment: what has not been sent on is not sent any more, and is refused.
+        virtual void hurried() {}
 
         bool overdue(Millis now) const { return now >= limit_; }
         // At once: of a connection that has ended or broken by itself.
@@ -160,6 +162,7 @@
     void pause();
     GuestPtr accepted(Tcp::socket socket);
     void last_chance(const GuestPtr& guest);
+    void hurried(const GuestPtr& guest);
     bool make_room();
     bool enter();
     bool close_least(std::size_t below = kAny);
--- a/tests/tier/data_plane/draining_streams_test.cpp
+++ b/tests/tier/data_plane/draining_streams_test.cpp
@@ -233,6 +233,45 @@
     }
 };
 
+TEST_F(AtTheEndOfTheGrace, ATurnThatIsBeingBegunIsRefusedAndReachesNoServer) {
+    RawClient& c = before_its_begin();
+    expect_told_at_once(c);
+    EXPECT_TRUE(c.heard().starts_with("HTTP/1.1 503 ")) << c.heard();
+    EXPECT_TRUE(c.has("Retry-After: ")) << c.heard();
+    EXPECT_TRUE(c.has("Connection: close\r\n")) << c.heard();
+    begin_turn(0);
+    settled();
+    EXPECT_EQ(arrived(), 0U);
+    ASSERT_EQ(turns.ended.size(), 1U);
+    EXPECT_TRUE(turns.ended[0].turn.never_ran);
+    process_ends();
+}
+
+// Its copies of the reservation come while answers are still taken.
+TEST_F(AtTheEndOfTheGrace, ATurnThatBeginsInTheHasteReachesNoServer) {
+    a.script = serve;
+    RawClient& c = before_its_begin();
+    terminate();
+    grace_ends();
+    begin_turn(0);
+    until([&] { return drained; });
+    EXPECT_EQ(arrived(), 0U);
+    EXPECT_TRUE(c.heard().starts_with("HTTP/1.1 503 ")) << c.heard();
+    process_ends();
+}
+
+TEST_F(DrainingStreams, ARequestThatWaitsForAConfigurationIsRefusedAtTheEndOfTheGrace) {
+    RawClient& c = client();
+    c.send(request_to("/stream/x", "id-1"));
+    until([&] { return ingress->counters().no_configuration == 1; });
+    terminate();
+    grace_ends();
+    until([&] { return is_whole(c.heard()) || drained; });
+    EXPECT_FALSE(drained);
+    EXPECT_TRUE(c.heard().starts_with("HTTP/1.1 503 ")) << c.heard();
+    EXPECT_TRUE(c.has("Retry-After: ")) << c.heard();
+}
+
 // It may have run: nothing promises that it did not.
 TEST_F(AtTheEndOfTheGrace, AStreamWithoutAnEventHasFailed) {
     RawClient& c = before_its_first_event("/stream/x", false);
