--- a/tests/tier/data_plane/draining_streams_test.cpp
+++ b/tests/tier/data_plane/draining_streams_test.cpp
@@ -51,7 +51,7 @@
     }
     RawClient& in_the_middle(const std::string& path = "/turn/x", bool is_turn = true) {
         RawClient& c = before_its_first_event(path, is_turn);
-        a.send(0, stream_head(a.requests[0]) + chunk(kFirstEvent));
+        a.send(0, stream_head(a.requests.at(0)) + chunk(kFirstEvent));
         until([&] { return chunked_body(c.heard()).bytes == kFirstEvent; });
         return c;
     }
@@ -75,10 +75,10 @@
     // ------------------------------------------------------------------------------------------------
 
     void server_ends_it() { a.send(0, chunk(kSecondEvent) + kLastChunk); }
-    void server_answers_it() { a.send(0, stream_head(a.requests[0]) + chunk(kFirstEvent)); }
+    void server_answers_it() { a.send(0, stream_head(a.requests.at(0)) + chunk(kFirstEvent)); }
     void copies_are_there() {
         until([&] { return turns.ended.size() == 1; });
-        turns.ended[0].done(true);
+        turns.ended.at(0).done(true);
     }
     void expect_whole(const RawClient& c) {
         until([&] { return c.ended() || chunked_body(c.heard()).ended; });
@@ -199,7 +199,7 @@
     terminate();
     c.send(request_to("/stream/x", "id-1"));
     until([&] { return a.requests.size() == 2; });
-    a.send(0, stream_head(a.requests[1]) + chunk(kFirstEvent));
+    a.send(0, stream_head(a.requests.at(1)) + chunk(kFirstEvent));
     until([&] { return chunked_body(c.heard().substr(first)).bytes == kFirstEvent; });
     server_ends_it();
     until([&] { return c.ended(); });
@@ -324,7 +324,7 @@
     process_ends();
     until([&] { return c.ended(); });
     expect_cut(c, kBothEvents);
-    turns.ended[0].done(true);
+    turns.ended.at(0).done(true);
     io.poll();
     EXPECT_EQ(turns.ended.size(), 1U);
     EXPECT_FALSE(chunked_body(c.heard()).ended);
--- a/tests/tier/data_plane/leaving_clients_test.cpp
+++ b/tests/tier/data_plane/leaving_clients_test.cpp
@@ -89,7 +89,7 @@
         a.send(0, kLastChunk);
         until([&] { return !turns.ended.empty(); });
         by_reset ? c.reset() : c.close();
-        turns.ended[0].done(true);  // the loop has not seen it leave
+        turns.ended.at(0).done(true);  // the loop has not seen it leave
         until([&] { return ingress->door().guests() == 0; });
         settled();
         ASSERT_EQ(turns.ended.size(), 1U);
--- a/tests/tier/data_plane/lost_streams_test.cpp
+++ b/tests/tier/data_plane/lost_streams_test.cpp
@@ -125,6 +125,7 @@
             RawClient& c = send_begun(request_to(kind.path, "id-1", kind.fields), kind.is_turn);
             until([&] { return c.ended() || (!loss.head_came && is_whole(c.heard())); });
             settled();
+            if (HasFatalFailure()) return;
             EXPECT_EQ(arrived(), arrived_before + 1);
             expect_told(c, loss);
             expect_settled_once(kind.is_turn, loss.tokens);
@@ -204,9 +205,10 @@
             until([&] {
                 return !turns.ended.empty() && chunked_body(c.heard()).bytes.size() >= events.size();
             });
+            if (HasFatalFailure()) return;
             EXPECT_FALSE(chunked_body(c.heard()).ended) << "its end is held back";
             EXPECT_TRUE(turns.ended[0].turn.whole);
-            turns.ended[0].done(true);
+            turns.ended.at(0).done(true);
             until([&] { return c.ended() || chunked_body(c.heard()).ended; });
             const ChunkedBody body = chunked_body(c.heard());
             EXPECT_EQ(body.bytes, events);
