--- a/tests/tier/data_plane/edge_rig.hpp
+++ b/tests/tier/data_plane/edge_rig.hpp
@@ -55,6 +55,13 @@
     std::vector<Ended> ended;
 };
 
+// Leaves no port waiting.
+inline void reset(Tcp::socket& socket) {
+    boost::system::error_code ignored;
+    socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+    socket.close(ignored);
+}
+
 // A client that sees bytes.
 class RawClient {
 public:
@@ -63,7 +70,14 @@
         read();
     }
     void send(const std::string& bytes) { boost::asio::write(socket_, boost::asio::buffer(bytes)); }
+    // As the other side takes it: more than the kernel holds, for what runs in the same loop.
+    void send_as_taken(std::string bytes) {
+        state_->out = std::move(bytes);
+        boost::asio::async_write(socket_, boost::asio::buffer(state_->out),
+                                 [s = state_](boost::system::error_code, std::size_t) {});
+    }
     void close() { socket_.close(); }
+    void reset() { whinledge::data_plane::test::reset(socket_); }
 
     const std::string& heard() const { return state_->heard; }
     bool ended() const { return state_->ended; }
@@ -72,7 +86,7 @@
 private:
     struct State {
         std::array<char, 4096> buffer{};
-        std::string heard;
+        std::string heard, out;
         bool ended = false;
     };
     void read() {
@@ -165,8 +179,8 @@
         io.stop();
     }
 
-    void configure() {
-        auto parsed = serving::parse_configuration(kConfiguration);
+    void configure(const std::string& configuration = kConfiguration) {
+        auto parsed = serving::parse_configuration(configuration);
         ASSERT_TRUE(parsed) << parsed.error().message;
         in_force = parsed.value();
         pools.configure(*in_force);
@@ -220,4 +234,19 @@
     std::size_t arrived() const { return a.requests.size() + b.requests.size(); }
 };
 
+// One that a test makes itself, where each of many cases needs a proxy that has seen nothing before.
+// Thousands of these must not leave their ports waiting.
+struct OwnEdgeRig : EdgeRig {
+    OwnEdgeRig() { SetUp(); }
+    ~OwnEdgeRig() override {
+        for (RawClient& c : clients) c.reset();
+        for (const ScriptedServer* const server : {&a, &b})
+            for (const auto& connection : server->connections) reset(connection->socket);
+        TearDown();
+    }
+    OwnEdgeRig(const OwnEdgeRig&) = delete;
+    OwnEdgeRig& operator=(const OwnEdgeRig&) = delete;
+    void TestBody() override {}
+};
+
 }  // namespace whinledge::data_plane::test
