Proxies may share which openings of prompts are busiest (openings.shared, off)

What a proxy knows of shared beginnings is what came through it: one that is new, or where an opening has not come yet, sends its first callers to servers that must read it anew.

Counts of beginnings are StartRates now: the old table was emptied whole when it was full. `whinledge-ctl openings`, pages, setting.

--- a/src/control_plane/control_process.cpp
+++ b/src/control_plane/control_process.cpp
@@ -3,9 +3,12 @@
 #include <glog/logging.h>
 
 #include <algorithm>
+#include <cmath>
+#include <iomanip>
 #include <map>
 #include <nlohmann/json.hpp>
 #include <random>
+#include <sstream>
 #include <utility>
 
 #include "feed/watch.hpp"
@@ -96,6 +99,15 @@
 
 std::string text(const Json& json) { return json.dump(-1, ' ', false, Json::error_handler_t::replace); }
 
+std::string hex(std::uint64_t key) {
+    std::ostringstream digits;
+    digits << std::hex << std::setw(16) << std::setfill('0') << key;
+    return digits.str();
+}
+
+// To two places, for people.
+double rounded(double figure) { return std::round(figure * 100) / 100; }
+
 // Of a row of the page of replicas; null where the process has not been heard of, or does not tell.
 Json progress_fields(const Heard* heard, Instant at) {
     Json fields{{"heardMsAgo", nullptr}};
@@ -151,6 +163,9 @@
           options.ledger_group = storage_map::ledger_group_size(settings.tolerated_losses());
           return options;
       }()),
+      openings_(io, client_, server_,
+                OpeningsService::Options{static_cast<std::uint64_t>(draw_identity()),
+                                         [this] { return other_controls(); }}),
       api_(register_,
            [&] {
                OperatorApi::Options options = api_options();
@@ -187,6 +202,7 @@
 
 void ControlProcess::start() {
     list_reader_.start();
+    openings_.start();
     tick();
 }
 
@@ -347,6 +363,7 @@
     options.list = [this] { return list_page(); };
     options.leases = [this] { return leases_page(); };
     options.replicas = [this] { return replicas_page(); };
+    options.openings = [this] { return openings_page(); };
     options.status = [this] { return status_page(); };
     return options;
 }
@@ -454,6 +471,18 @@
     return text({{"epoch", state.storage.epoch}, {"members", members}, {"retired", state.retired}});
 }
 
+std::string ControlProcess::openings_page() {
+    Json rows = Json::array();
+    for (const openings::OpeningView& view : openings_.views())
+        rows.push_back({{"service", view.service},
+                        {"opening", hex(view.opening.key)},
+                        {"tokens", view.opening.tokens},
+                        {"perSecond", rounded(view.opening.rate)},
+                        {"share", rounded(view.share)},
+                        {"trend", rounded(view.trend)}});
+    return text({{"self", self_.node}, {"nodes", openings_.nodes()}, {"openings", rows}});
+}
+
 std::string ControlProcess::status_page() const {
     const wire::RegisterState& state = register_.known();
     const wire::ServersList& list = list_reader_.list();
@@ -469,7 +498,8 @@
 
 std::string ControlProcess::counters() const {
     return "register: " + register_.counters() + "; list: " + list_reader_.counters() +
-           "; watchers=" + std::to_string(watches_.waiting()) + "; overlay: " + overlay_.counters() +
+           "; openings: " + openings_.counters() + "; watchers=" + std::to_string(watches_.waiting()) +
+           "; overlay: " + overlay_.counters() +
            "; rpc: unreadable=" + std::to_string(server_.unreadable() + client_.stats().unreadable);
 }
 
--- a/src/control_plane/control_process.hpp
+++ b/src/control_plane/control_process.hpp
@@ -16,6 +16,7 @@
 #include "control_plane/http_server.hpp"
 #include "control_plane/lease_service.hpp"
 #include "control_plane/membership.hpp"
+#include "control_plane/openings_service.hpp"
 #include "control_plane/operator_api.hpp"
 #include "control_plane/proxy_census.hpp"
 #include "control_plane/servers_list_reader.hpp"
@@ -69,6 +70,7 @@
     std::string list_page() const;
     nlohmann::json acceptors() const;
     std::string replicas_page() const;
+    std::string openings_page();
     std::string status_page() const;
 
     boost::asio::io_context& io_;
@@ -85,6 +87,7 @@
     WatchService watches_;
     overlay::OverlayService overlay_;
     StorageMapReconciler reconciler_;
+    OpeningsService openings_;
     OperatorApi api_;
     std::optional<HttpServer> http_;
     LoopTimer timer_;
--- a/src/control_plane/operator_api.cpp
+++ b/src/control_plane/operator_api.cpp
@@ -184,6 +184,7 @@
     if (path == "/acceptors") page = &options_.acceptors;
     if (path == "/leases") page = &options_.leases;
     if (path == "/replicas") page = &options_.replicas;
+    if (path == "/openings") page = &options_.openings;
     if (path == "/overlay") page = &options_.overlay;
     if (path == "/list") page = &options_.list;
     if (path == "/status") page = &options_.status;
--- a/src/control_plane/operator_api.hpp
+++ b/src/control_plane/operator_api.hpp
@@ -17,7 +17,7 @@
         // Whether a storage machine of this name watches, though it may not be in the map yet.
         std::function<bool(const std::string& node)> storage_heard;
         // Pages for whinledge-ctl, by path; JSON.
-        std::function<std::string()> members, acceptors, leases, replicas, overlay, list, status;
+        std::function<std::string()> members, acceptors, leases, replicas, openings, overlay, list, status;
     };
     OperatorApi(consensus::RegisterService& reg, Options options);
 
--- a/src/ctl/page_text.cpp
+++ b/src/ctl/page_text.cpp
@@ -12,8 +12,8 @@
 using Json = nlohmann::json;
 
 // Columns that come first, in this order; others follow by name.
-constexpr std::array<std::string_view, 9> kFirstColumns{"lease", "node", "id",      "service", "role",
-                                                        "state", "zone", "address", "identity"};
+constexpr std::array<std::string_view, 10> kFirstColumns{"lease", "node",  "id",   "service", "opening",
+                                                         "role",  "state", "zone", "address", "identity"};
 constexpr std::size_t kGap = 2;
 
 std::string cell_of(const Json& value) {
--- a/src/data_plane/proxy.cpp
+++ b/src/data_plane/proxy.cpp
@@ -119,6 +119,7 @@
       rpc_(io),
       feed_(io, rpc_, feed_options(settings, static_cast<std::int64_t>(random_() >> 1))),
       relay_(io, rpc_, feed_, relay_options(settings)),
+      openings_(io, rpc_, openings_options()),
       turn_client_(io, rpc_, turn_options(settings)),
       turns_(std::make_unique<Turns>(turn_client_)),
       host_{clock_, pools_, *turns_, [this] { return std::uniform_real_distribution<double>()(random_); },
@@ -145,6 +146,7 @@
     ingress_.emplace(
         io, std::move(options), host_, [this] { return in_force_; }, [this] { end(); });
     feed_.start();
+    openings_.set_on(settings.share_openings);
     if (!settings.list_address.empty()) watch_list();
 }
 
@@ -160,6 +162,16 @@
     return options;
 }
 
+OpeningsShare::Options Proxy::openings_options() {
+    OpeningsShare::Options options;
+    options.node = random_();
+    options.zone = settings_.zone;
+    options.controls = [this] { return feed_.controls(); };
+    options.seen = [this] { return pools_.busiest_openings(); };
+    options.shared = [this](const openings::Traffic& sum) { pools_.set_shared_openings(sum); };
+    return options;
+}
+
 // The snapshot in force is swapped whole; requests under way keep theirs.
 void Proxy::apply(const wire::RegisterState& state) {
     turn_client_.set_map(state.storage);
@@ -227,6 +239,7 @@
     }
     if (settings.bound_programs != settings_.bound_programs)
         pools_.set_admission(admission_settings(settings));
+    openings_.set_on(settings.share_openings);
     settings_ = settings;
 }
 
@@ -265,10 +278,11 @@
          << " turn_ended_ms=" << host_.times.turn_ended.summary() << " own_list_readings=" << own_readings_
          << " own_list_failures=" << own_failures_ << " version=" << (in_force_ ? in_force_->version : 0)
          << " pools: " << pools_.counters() << " feed: " << feed_.counters()
-         << " overlay: " << relay_.counters() << " turns: " << turn_client_.counters()
-         << " rpc: calls=" << rpc_.stats().calls << " failed=" << rpc_.stats().failed
-         << " unreadable=" << rpc_.stats().unreadable << " bytes_out=" << rpc_.stats().bytes_out
-         << " bytes_in=" << rpc_.stats().bytes_in << " upstream: open=" << transport_.upstream().stats().open
+         << " overlay: " << relay_.counters() << " " << openings_.counters()
+         << " turns: " << turn_client_.counters() << " rpc: calls=" << rpc_.stats().calls
+         << " failed=" << rpc_.stats().failed << " unreadable=" << rpc_.stats().unreadable
+         << " bytes_out=" << rpc_.stats().bytes_out << " bytes_in=" << rpc_.stats().bytes_in
+         << " upstream: open=" << transport_.upstream().stats().open
          << " opened=" << transport_.upstream().stats().opened
          << " most_at_server=" << transport_.upstream().stats().most_at_server
          << " over_limit=" << transport_.upstream().stats().over_limit
--- a/src/data_plane/proxy.hpp
+++ b/src/data_plane/proxy.hpp
@@ -13,6 +13,7 @@
 #include "data_plane/exchange.hpp"
 #include "data_plane/ingress.hpp"
 #include "data_plane/list_pace.hpp"
+#include "data_plane/openings_share.hpp"
 #include "data_plane/readiness.hpp"
 #include "data_plane/service_pools.hpp"
 #include "engine/engine.hpp"
@@ -50,6 +51,7 @@
 
 private:
     ServicePools::Options pool_options();
+    OpeningsShare::Options openings_options();
     // The storage plane as exchanges see it.
     class Turns;
 
@@ -74,6 +76,7 @@
     rpc::Client rpc_;
     feed::Feed feed_;
     feed::FeedRelay relay_;
+    OpeningsShare openings_;
     storage_plane::TurnClient turn_client_;
     std::unique_ptr<TurnStore> turns_;
     ExchangeHost host_;
--- a/src/data_plane/service_pools.cpp
+++ b/src/data_plane/service_pools.cpp
@@ -71,6 +71,7 @@
     for (const serving::Service& service : configuration.services) {
         if (const auto known = pools_.find(service.name); known != pools_.end()) {
             set_engine(known->second, service);
+            tell_openings(service.name, known->second);
             set_max_connections(known->second, service);
             continue;
         }
@@ -92,6 +93,7 @@
         made.pool = &engine_.add_pool(std::move(options), transport_, this, {});
         made.pool->start();
         set_max_connections(made, service);
+        tell_openings(service.name, made);
         pools_.emplace(service.name, std::move(made));
         tell_members(service.name);
     }
@@ -198,6 +200,37 @@
     options_.limit_connections(pool.pool->id(), share);
 }
 
+// ---- Openings of prompts ---------------------------------------------------------------------------------
+
+openings::Traffic ServicePools::busiest_openings() const {
+    openings::Traffic traffic;
+    for (const auto& [name, pool] : pools_) {
+        if (!pool.placement) continue;
+        openings::ServiceTraffic service{name, pool.placement->request_rate(engine_.now())};
+        for (const placement::BusyStart& start :
+             pool.placement->busiest(openings::kMostToldOpenings, engine_.now()))
+            service.openings.push_back({start.id, start.tokens, start.rate});
+        traffic.push_back(std::move(service));
+    }
+    return openings::heaviest(std::move(traffic), openings::kMostToldOpenings);
+}
+
+void ServicePools::set_shared_openings(openings::Traffic shared) {
+    shared_openings_ = std::move(shared);
+    for (auto& [service, pool] : pools_) tell_openings(service, pool);
+}
+
+void ServicePools::tell_openings(const std::string& service, ServicePool& pool) {
+    if (!pool.placement) return;
+    std::vector<placement::ToldStart> starts;
+    for (const openings::ServiceTraffic& told : shared_openings_) {
+        if (told.service != service || told.rate <= 0) continue;
+        for (const openings::Opening& opening : told.openings)
+            starts.push_back({opening.key, opening.rate / told.rate});
+    }
+    pool.placement->set_told_starts(starts);
+}
+
 // ---- Placement on model servers ---------------------------------------------------------------------------
 
 void ServicePools::set_engine(ServicePool& pool, const serving::Service& service) {
--- a/src/data_plane/service_pools.hpp
+++ b/src/data_plane/service_pools.hpp
@@ -16,6 +16,7 @@
 #include "data_plane/connection_share.hpp"
 #include "engine/engine.hpp"
 #include "engine/observer.hpp"
+#include "openings/traffic.hpp"
 #include "placement/placement.hpp"
 #include "placement/program_admission.hpp"
 #include "serving/configuration.hpp"
@@ -64,6 +65,11 @@
     // `Server-Load` of an answer.
     void load_seen(std::string_view service, std::string_view server, std::string_view load);
 
+    // Which openings came through here of late, of all services of model servers.
+    openings::Traffic busiest_openings() const;
+    // What came through all proxies, in place of what was told before; empty: nothing is known.
+    void set_shared_openings(openings::Traffic shared);
+
     // Whether a turn may be taken there now; false: its program would begin with it, and servers are
     // overloaded.
     bool admit(std::string_view service, const placement::ProgramTurn& turn);
@@ -95,6 +101,7 @@
     void ended(const AttemptEnded& attempt, Millis now);
     placement::Placement* placement_of(std::string_view service) const;
     placement::ProgramAdmission* admission_of(std::string_view service);  // null: off, or of no model servers
+    void tell_openings(const std::string& service, ServicePool& pool);
     void set_engine(ServicePool& pool, const serving::Service& service);
     void set_max_connections(ServicePool& pool, const serving::Service& service);
     void share_connections(ServicePool& pool);
@@ -111,6 +118,7 @@
     std::unordered_map<RequestId, OpenSend> open_sends_;
     placement::SendId next_send_ = 1;
     Sharers sharers_;
+    openings::Traffic shared_openings_;
     std::set<std::string> replaced_;  // while the list still names them
 };
 
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -12,12 +12,11 @@
 
 namespace {
 
-constexpr std::size_t kMostStarts = 4096;  // shared starts whose traffic is counted
-constexpr double kLeastTraffic = 0.05;     // requests of late; a start with fewer is forgotten first
 constexpr std::size_t kLeastHolders = 2;
-constexpr double kPriorRequests = 10;  // of no start, that the traffic begins with
-constexpr double kLeastWaits = 3;      // first tokens of late, to tell how long they take
-constexpr Millis kColdSpan = 5000;     // a server slow for as long or longer is as slow as one gets
+// What others tell of a beginning counts as much as so many requests of late that came through here.
+constexpr double kToldRequests = 50;
+constexpr double kLeastWaits = 3;   // first tokens of late, to tell how long they take
+constexpr Millis kColdSpan = 5000;  // a server slow for as long or longer is as slow as one gets
 
 double faded(Millis since, Millis now, Millis memory) { return std::exp((since - now) / memory); }
 
@@ -58,7 +57,12 @@
     Millis longest_wait = 0;        // for a first token, of a server that does not hang
 };
 
-Placement::Placement(Settings settings) : settings_(std::move(settings)) {}
+Placement::Placement(Settings settings)
+    : settings_(std::move(settings)), starts_([this] {
+          StartRates::Options options;
+          options.memory = settings_.traffic_memory_ms;
+          return options;
+      }()) {}
 
 // ---- The list -------------------------------------------------------------------------------------------
 
@@ -222,7 +226,7 @@
 // The last part that several programs have; where none is known to be, the last but one.
 std::size_t Placement::start_of(const std::vector<PromptPart>& parts) const {
     for (std::size_t i = parts.size() - 1; i-- > 0;)
-        if (const auto at = starts_.find(parts[i].id); at != starts_.end() && at->second.shared) return i;
+        if (starts_.is_shared(parts[i].id) || told_.contains(parts[i].id)) return i;
     return parts.size() - 2;
 }
 
@@ -288,12 +292,10 @@
 // How many of so many servers share a start: as many as its part of the traffic would fill, and more. Every
 // process of a zone sees about the same traffic, so all of them have about the same servers.
 std::size_t Placement::holders(std::uint64_t start, std::size_t among, Millis now) const {
-    const auto at = starts_.find(start);
-    if (at == starts_.end()) return kLeastHolders;
-    const Millis memory = settings_.traffic_memory_ms;
-    const double part =
-        at->second.requests.at_time(now, memory) / (requests_.at_time(now, memory) + kPriorRequests);
-    const double filled = std::ceil(settings_.spread * part * static_cast<double>(among));
+    StartRates::Prior prior;
+    if (const auto told = told_.find(start); told != told_.end()) prior = {kToldRequests, told->second};
+    const double share = starts_.share(start, prior, now);
+    const double filled = std::ceil(settings_.spread * share * static_cast<double>(among));
     return std::max(kLeastHolders, static_cast<std::size_t>(filled));
 }
 
@@ -379,20 +381,18 @@
 // ---- Who is worth it ------------------------------------------------------------------------------------
 
 void Placement::count(const Request& request, Millis now) {
-    const Millis memory = settings_.traffic_memory_ms;
-    requests_.add(1, now, memory);
-    if (request.parts.size() < 2) return;
+    std::vector<PromptPart> starts;
+    std::int64_t tokens = 0;
     for (std::size_t i = 0; i + 1 < request.parts.size(); ++i) {
-        const auto [at, fresh] = starts_.try_emplace(mixed(request.parts[i].id, request.model));
-        Start& start = at->second;
-        if (fresh) start.program = request.program;
-        start.shared = start.shared || request.program == 0 || start.program != request.program;
-        start.requests.add(1, now, memory);
+        tokens += request.parts[i].tokens;
+        starts.push_back({mixed(request.parts[i].id, request.model), tokens});
     }
-    if (starts_.size() <= kMostStarts) return;
-    std::erase_if(starts_,
-                  [&](const auto& s) { return s.second.requests.at_time(now, memory) < kLeastTraffic; });
-    if (starts_.size() > kMostStarts) starts_.clear();
+    starts_.count(starts, request.program, now);
+}
+
+void Placement::set_told_starts(std::vector<ToldStart> starts) {
+    told_.clear();
+    for (const ToldStart& start : starts) told_.emplace(start.id, std::clamp(start.share, 0.0, 1.0));
 }
 
 std::vector<std::string> Placement::candidates(const Request& request, Millis now) {
--- a/src/placement/placement.hpp
+++ b/src/placement/placement.hpp
@@ -17,10 +17,10 @@
 
 #include "placement/kept_parts.hpp"
 #include "placement/prompt.hpp"
+#include "placement/start_rates.hpp"
 
 namespace whinledge::placement {
 
-using Millis = double;
 using SendId = std::uint64_t;  // the caller's; one for each attempt, never used twice
 
 struct Settings {
@@ -114,6 +114,12 @@
     Millis total() const { return prefill + decode + queue + memory + crossing + silence + strayed - due; }
 };
 
+// A shared beginning as other processes have seen it.
+struct ToldStart {
+    std::uint64_t id = 0;  // of its last part, with the model's
+    double share = 0;      // of the service's requests, 0 to 1
+};
+
 class Placement {
 public:
     explicit Placement(Settings settings = {});
@@ -137,6 +143,15 @@
     void ended(SendId send, bool ran, Millis now);
     void load_seen(std::string_view server, const Load& load, Millis now);
 
+    // Which shared beginnings are busiest of late, by what came through here, and how often requests came.
+    std::vector<BusyStart> busiest(std::size_t most, Millis now) const { return starts_.busiest(most, now); }
+    double request_rate(Millis now) const { return starts_.request_rate(now); }
+    std::uint64_t counted() const { return starts_.counted(); }
+    // What other processes have seen: beginnings that are shared, and which share of the service's requests
+    // begins so. In place of what was told before. A hint: it counts as much as 50 requests that came through
+    // here.
+    void set_told_starts(std::vector<ToldStart> starts);
+
     // Whether an attempt has waited for its first token for so long that its server may hang.
     bool is_overdue(SendId send, Millis now) const;
 
@@ -208,17 +223,11 @@
     std::vector<Server> servers_;
     std::unordered_map<std::string, std::size_t> places_;  // in servers_, by id
     std::unordered_map<SendId, Send> sends_;
-    // A part that is not a request's last one.
-    struct Start {
-        Tally requests;             // of late
-        std::uint64_t program = 0;  // that first had it
-        bool shared = false;        // by several programs, or by requests of none
-    };
-    std::unordered_map<std::uint64_t, Start> starts_;
-    Tally requests_;                 // of late
-    Tally others_, loads_;           // of servers, as of the loads seen, and how many
-    Tally lasted_, lasts_, tokens_;  // of what has ended: time, number, tokens
-    Tally waited_, waits_;           // for first tokens: time, number
+    StartRates starts_;                               // of what came through here
+    std::unordered_map<std::uint64_t, double> told_;  // shares, by id
+    Tally others_, loads_;                            // of servers, as of the loads seen, and how many
+    Tally lasted_, lasts_, tokens_;                   // of what has ended: time, number, tokens
+    Tally waited_, waits_;                            // for first tokens: time, number
 };
 
 }  // namespace whinledge::placement
--- a/src/programs/ctl_main.cpp
+++ b/src/programs/ctl_main.cpp
@@ -25,7 +25,7 @@
 Usage:
   whinledge-ctl (settings | config) read [options]
   whinledge-ctl (settings | config) replace FILE --based-on=VERSION [options]
-  whinledge-ctl (members | acceptors | leases | replicas | overlay | list | status) [--watch] [--json] [options]
+  whinledge-ctl (members | acceptors | leases | replicas | openings | overlay | list | status) [--watch] [--json] [options]
   whinledge-ctl retire begin NODE [--within=SECONDS] [options]
   whinledge-ctl retire read NODE [options]
   whinledge-ctl check configuration FILE
@@ -37,6 +37,7 @@
   members    processes that were heard of        leases   who does which duty
   acceptors  who votes on the configuration      replicas storage machines of the map
   overlay    links to others                     list     the servers as read from the platform
+  openings   beginnings of prompts that are busiest now
   status     versions and counters of the process that answers
 
 Options:
@@ -147,7 +148,8 @@
     if (chosen("settings") || chosen("config"))
         return chosen("read") ? ask(arguments, {"GET", "/settings/read", {}, {}}) : replace(arguments);
     if (chosen("retire")) return retire(arguments);
-    for (const char* page : {"members", "acceptors", "leases", "replicas", "overlay", "list", "status"})
+    for (const char* page :
+         {"members", "acceptors", "leases", "replicas", "openings", "overlay", "list", "status"})
         if (chosen(page)) return show(arguments, page);
     return kWrongUsage;
 }
--- a/tests/tier/control_plane/control_process_test.cpp
+++ b/tests/tier/control_plane/control_process_test.cpp
@@ -513,6 +513,8 @@
     EXPECT_EQ(page(0, "/acceptors")["majority"], 2);
     EXPECT_EQ(page(0, "/acceptors")["acceptors"].size(), 3U);
     EXPECT_EQ(page(0, "/overlay")["running"], false);
+    EXPECT_EQ(page(0, "/openings")["nodes"], 0);
+    EXPECT_TRUE(page(0, "/openings")["openings"].empty());
     EXPECT_TRUE(runs_until([&] { return page(1, "/list")["servers"].size() == 1; }));
     EXPECT_EQ(page(1, "/list")["servers"][0]["id"], "i-1");
     EXPECT_EQ(page(1, "/list")["alive"], true);
--- a/tests/tier/ctl/page_text_test.cpp
+++ b/tests/tier/ctl/page_text_test.cpp
@@ -58,6 +58,17 @@
         "retired: storage-9\n");
 }
 
+TEST(PageText, OpeningsAreATableByServiceAndKey) {
+    EXPECT_EQ(
+        page_text(R"({"self":"core-1","nodes":3,"openings":[{"opening":"00000000000000c8","perSecond":4.5,)"
+                  R"("service":"chat","share":0.3,"tokens":3000,"trend":-1.25}]})"),
+        "nodes: 3\n"
+        "self: core-1\n"
+        "openings:\n"
+        "service  opening           perSecond  share  tokens  trend\n"
+        "chat     00000000000000c8  4.5        0.3    3000    -1.25\n");
+}
+
 TEST(PageText, WhatIsNoObjectIsLeftAsItIs) {
     for (const char* text : {"", "[1]", "<html>", "{"}) EXPECT_EQ(page_text(text), std::string(text) + "\n");
 }
--- a/tests/tier/data_plane/service_pools_test.cpp
+++ b/tests/tier/data_plane/service_pools_test.cpp
@@ -206,6 +206,44 @@
     EXPECT_FALSE(pools.is_overdue(call->id));
 }
 
+// An opening is seen by its key, which is alike in all processes, with all requests of its service.
+TEST_F(ServicePoolsTest, TellsWhichOpeningsCameThroughIt) {
+    for (int each = 0; each < 20; ++each)
+        pools.candidates("models", session(std::string("s").append(std::to_string(each)).c_str()));
+    const openings::Traffic seen = pools.busiest_openings();
+    ASSERT_EQ(seen.size(), 1U);
+    EXPECT_EQ(seen.front().service, "models");
+    EXPECT_NEAR(seen.front().rate, 4, 0.01);
+    ASSERT_EQ(seen.front().openings.size(), 1U);
+    EXPECT_EQ(seen.front().openings.front().key, placement::mixed(1, placement::name_hash("m")));
+    EXPECT_EQ(seen.front().openings.front().tokens, 2000);
+}
+
+TEST_F(ServicePoolsTest, WhatIsSharedHoldsForPoolsThatComeLater) {
+    const std::uint64_t opening = placement::mixed(1, placement::name_hash("m"));
+    const std::uint64_t deeper = placement::mixed(2, placement::name_hash("m"));
+    placement::Request request = session("new");
+    request.parts = {{1, 2000}, {2, 800}, {3, 700}, {placement::name_hash("new"), 100}};
+    request.program = placement::name_hash("new");
+    ServicePools later(engine, transport, {"a", 1, {}});
+    later.set_shared_openings(
+        {{"models", 10, {{opening, 2000, 9}, {deeper, 2800, 9}}}, {"gone", 5, {{7, 1, 5}}}});
+    later.configure(*serving::parse_configuration(kConfiguration).value());
+    wire::ServersList list;
+    for (int i = 0; i < 6; ++i) {
+        wire::ListedServer server;
+        server.id = std::string("s").append(std::to_string(i));
+        server.service_name = "models";
+        server.address = std::string("10.0.0.").append(std::to_string(i + 1)) + ":80";
+        server.zone = "a";
+        list.servers.push_back(server);
+    }
+    later.set_servers(list);
+    pools.set_servers(list);
+    pools.set_shared_openings({{"models", 10, {{opening, 2000, 9}, {deeper, 2800, 9}}}});
+    EXPECT_EQ(later.candidates("models", request).front(), pools.candidates("models", request).front());
+}
+
 TEST_F(ServicePoolsTest, ToolsHaveNoCandidates) {
     EXPECT_TRUE(pools.candidates("tools", session("x")).empty());
 }
