--- a/tests/tier/storage_plane/storage_cluster.hpp
+++ b/tests/tier/storage_plane/storage_cluster.hpp
@@ -524,6 +524,8 @@
 
     bool cut = false;
     std::set<std::string> unreachable;  // addresses
+    // Of its processor, for each message that it sends or hears, one after the other; 0: none is counted.
+    double handling_ms = 0;
 
     // Nothing that is under way goes on; what was sent may still arrive.
     void crash() {
@@ -569,21 +571,35 @@
             [weak, id = send.id](std::optional<Reply> reply) {
                 const auto self = weak.lock();
                 if (!self || self->dead_) return;
-                self->quorum_.replied(id, reply ? TurnReply(std::move(*reply)) : TurnReply(NoReply()),
-                                      self->cluster_.time.now());
-                self->flush();
+                self->handled([self, id, reply = std::move(reply)]() mutable {
+                    if (self->dead_) return;
+                    self->quorum_.replied(id, reply ? TurnReply(std::move(*reply)) : TurnReply(NoReply()),
+                                          self->cluster_.time.now());
+                    self->flush();
+                });
             });
     }
 
+    // When its processor has come to it.
+    template <class Work>
+    void handled(Work work) {
+        if (handling_ms == 0) return work();
+        busy_until_ms_ = std::max(busy_until_ms_, cluster_.time.now()) + handling_ms;
+        cluster_.time.at(busy_until_ms_, std::move(work));
+    }
+
+    void write(const TurnSend& send) {
+        if (const auto* begin = std::get_if<wire::BeginTurnRequest>(&send.request))
+            call(send, *begin, &StorageNode::begin);
+        else if (const auto* end = std::get_if<wire::EndTurnRequest>(&send.request))
+            call(send, *end, &StorageNode::end);
+        else
+            call(send, std::get<wire::ReadTurnsRequest>(send.request), &StorageNode::read);
+    }
+
     void flush() {
-        for (const TurnSend& send : quorum_.take_sends()) {
-            if (const auto* begin = std::get_if<wire::BeginTurnRequest>(&send.request))
-                call(send, *begin, &StorageNode::begin);
-            else if (const auto* end = std::get_if<wire::EndTurnRequest>(&send.request))
-                call(send, *end, &StorageNode::end);
-            else
-                call(send, std::get<wire::ReadTurnsRequest>(send.request), &StorageNode::read);
-        }
+        for (const TurnSend& send : quorum_.take_sends())
+            handled([self = shared_from_this(), send] { self->write(send); });
         for (TurnOutcome& outcome : quorum_.take_outcomes()) {
             cluster_.time.after(0, [weak = weak_from_this(), outcome = std::move(outcome)] {
                 const auto self = weak.lock();
@@ -616,7 +632,7 @@
     TurnCache cache_;
     TurnQuorum quorum_;
     bool dead_ = false;
-    double armed_ms_ = TurnQuorum::kNever;
+    double armed_ms_ = TurnQuorum::kNever, busy_until_ms_ = 0;
     std::map<std::uint64_t, std::function<void(BegunTurn)>> begins_;
     std::map<std::uint64_t, std::function<void(bool)>> ends_;
 };
