--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -205,7 +205,7 @@
     }
     ask.prompt = std::max(request.tokens.prompt, told);
     if (ask.parts.size() > 1) {
-        const std::size_t start = start_of(ask.parts);
+        const std::size_t start = start_of(ask.parts, request.continues);
         for (std::size_t i = 0; i <= start; ++i) ask.shared += ask.parts[i].tokens;
         ask.start = ask.parts[start].id;
         ask.private_from = start + 1;
@@ -223,11 +223,13 @@
     return ask;
 }
 
-// The last part that several programs have; where none is known to be, the last but one.
-std::size_t Placement::start_of(const std::vector<PromptPart>& parts) const {
+// The last part that several programs have. Where none is known to be, the last but one; of a line with
+// earlier turns the first, as the others are what was said in it: another one would be taken for its start
+// each turn.
+std::size_t Placement::start_of(const std::vector<PromptPart>& parts, bool continues) const {
     for (std::size_t i = parts.size() - 1; i-- > 0;)
         if (starts_.is_shared(parts[i].id) || told_.contains(parts[i].id)) return i;
-    return parts.size() - 2;
+    return continues ? 0 : parts.size() - 2;
 }
 
 bool Placement::is_kept(const Ask& ask) const {
--- a/src/placement/placement.hpp
+++ b/src/placement/placement.hpp
@@ -203,7 +203,7 @@
         std::vector<std::uint64_t> hashes;  // of the servers
         bool in_zone = false;               // all of them are of the own zone
     };
-    std::size_t start_of(const std::vector<PromptPart>& parts) const;
+    std::size_t start_of(const std::vector<PromptPart>& parts, bool continues) const;
     Takers takers() const;
     std::size_t holders(std::uint64_t start, std::size_t among, Millis now) const;
     std::uint64_t last_holder(std::uint64_t start, const std::vector<std::uint64_t>& takers,
--- a/tests/tier/placement/thread_through_zones_test.cpp
+++ b/tests/tier/placement/thread_through_zones_test.cpp
@@ -17,13 +17,13 @@
 constexpr std::uint64_t kThreads = 40, kTurns = 9;
 const std::vector<std::string> kZones{"a", "b", "c"};
 
-// Its prompt has all that was said in the thread before it.
-Request turn(std::uint64_t thread, std::uint64_t number) {
+// Its prompt has all that was said in the thread before it, behind a start that others share or not.
+Request turn(std::uint64_t thread, std::uint64_t number, std::uint64_t start = kStart) {
     Request made;
     made.model = kModel;
     made.line = made.program = 1 + thread;
     made.continues = number > 0;
-    made.parts = {{kStart, kStartTokens}, {mixed(made.line, 0), kInput}};
+    made.parts = {{start, kStartTokens}, {mixed(made.line, 0), kInput}};
     for (std::uint64_t i = 1; i <= number; ++i) made.parts.push_back({mixed(made.line, i), kOut + kInput});
     for (const PromptPart& part : made.parts) made.tokens.prompt += part.tokens;
     made.tokens.most_out = kOut;
@@ -91,6 +91,17 @@
     }
 }
 
+// Where no other program has its start, the thread is all that there is to go by.
+TEST(ThreadThroughZones, AThreadWithAStartOfItsOwnStaysWhereItBegan) {
+    Process process("a");
+    for (std::uint64_t thread = 0; thread < kThreads; ++thread) {
+        const std::uint64_t start = 1000 + thread;
+        const std::string began = process.send(turn(thread, 0, start));
+        for (std::uint64_t number = 1; number < kTurns; ++number)
+            EXPECT_EQ(process.send(turn(thread, number, start)), began) << thread << " " << number;
+    }
+}
+
 // What it is to read there is what was said since that process's own last turn, and not the thread anew.
 TEST(ThreadThroughZones, WhatWasSaidSinceIsReadThere) {
     std::vector<Process> processes;
