Lab: arms may share openings among simulated proxies

Change: the arm key shared_openings; each 300 ms the sum of what proxies have seen, told 400 ms later.

--- a/tools/lab/experiment.hpp
+++ b/tools/lab/experiment.hpp
@@ -93,10 +93,11 @@
 struct Arm {
     std::string name;
     Choice choice = Choice::prefix;
-    bool kept_prefix = true;  // placement is told of prompts' parts and of lines
-    bool told_load = true;    // `Server-Load`
-    bool urgency = true;      // `Priority`
-    bool zones = true;        // the own zone is preferred
+    bool kept_prefix = true;       // placement is told of prompts' parts and of lines
+    bool told_load = true;         // `Server-Load`
+    bool urgency = true;           // `Priority`
+    bool zones = true;             // the own zone is preferred
+    bool shared_openings = false;  // proxies are told which openings are busiest in all (simulated alone)
 };
 
 struct Experiment {
--- a/tools/lab/proxy.hpp
+++ b/tools/lab/proxy.hpp
@@ -36,6 +36,8 @@
     std::size_t zone() const override { return where_.zone; }
     // The servers that are there now are its list.
     void set_servers();
+    openings::Traffic busiest_openings() const { return pools_->busiest_openings(); }
+    void set_shared_openings(const openings::Traffic& sum) { pools_->set_shared_openings(sum); }
     void take(const ClientRequest& request) override;
     void left(TryId id) override;
     // Its process ends: tries that it has are those of clients who see their connections close.
--- a/tools/lab/read_experiment.cpp
+++ b/tools/lab/read_experiment.cpp
@@ -222,6 +222,7 @@
         table.read("told_load", arm.told_load);
         table.read("urgency", arm.urgency);
         table.read("zones", arm.zones);
+        table.read("shared_openings", arm.shared_openings);
         table.done();
         experiment.arms.push_back(std::move(arm));
     }
--- a/tools/lab/trial.cpp
+++ b/tools/lab/trial.cpp
@@ -17,6 +17,8 @@
 
 constexpr Millis kStart = 1e6;             // of the clock, so that no time in it is 0
 constexpr Millis kLeadMs = 1000;           // that proxies have ahead of the traffic
+constexpr Millis kOpeningsPace = 300;      // between two sums of what proxies have seen
+constexpr Millis kOpeningsAge = 400;       // of a sum that proxies are told
 constexpr std::uint64_t kProxyDraws = 21;  // names the seeds of proxies
 
 class Trial {
@@ -39,6 +41,7 @@
         for (const ProgramPlan& plan : plans_)
             simulation_.at(begins + plan.arrives, [this, &plan] { agents_.begin(plan); });
         for (std::size_t i = 0; i < experiment_.troubles.size(); ++i) plan_trouble(i, begins);
+        if (arm_.shared_openings) share_openings();
         simulation_.run_until(begins + experiment_.traffic_ms + experiment_.finish_ms);
         agents_.finish();
         cloud_.count_open();
@@ -107,6 +110,17 @@
         }
     }
 
+    // All proxies are told the sum of what each has seen, by when it is some time old.
+    void share_openings() {
+        openings::TrafficSum sum;
+        for (const auto& proxy : proxies_) sum.add(proxy->busiest_openings());
+        const openings::Traffic heaviest = sum.heaviest(openings::kMostSummedOpenings);
+        simulation_.in(kOpeningsAge, [this, heaviest] {
+            for (const auto& proxy : proxies_) proxy->set_shared_openings(heaviest);
+        });
+        simulation_.in(kOpeningsPace, [this] { share_openings(); });
+    }
+
     void tell_list() {
         simulation_.in(experiment_.deployment.list_delay_ms, [this] {
             for (const auto& proxy : proxies_) proxy->set_servers();
