--- a/src/http/upstream.cpp
+++ b/src/http/upstream.cpp
@@ -12,7 +12,6 @@
 namespace whinledge {
 
 namespace asio = boost::asio;
-using boost::system::error_code;
 
 namespace {
 
--- a/src/ldap/transport.cpp
+++ b/src/ldap/transport.cpp
@@ -12,7 +12,6 @@
 namespace whinledge::ldap {
 
 namespace asio = boost::asio;
-using boost::system::error_code;
 using Steady = std::chrono::steady_clock;
 
 namespace {
