Openings: a node switched on again is heard at once, and nobody ticks for nothing

Cause: reading the change once more.

Change: Teller::forget keeps the sequence; ticks run while nodes tell; io/steady_millis; the counter goes.

--- a/src/control_plane/control_process.cpp
+++ b/src/control_plane/control_process.cpp
@@ -202,7 +202,6 @@
 
 void ControlProcess::start() {
     list_reader_.start();
-    openings_.start();
     tick();
 }
 
--- a/src/control_plane/openings_service.cpp
+++ b/src/control_plane/openings_service.cpp
@@ -5,6 +5,7 @@
 #include <optional>
 #include <utility>
 
+#include "io/steady_millis.hpp"
 #include "openings/calls.hpp"
 #include "openings/messages.hpp"
 
@@ -15,11 +16,6 @@
 constexpr std::chrono::milliseconds kTick{50};
 constexpr std::chrono::milliseconds kSubtotalTimeout{500};
 
-openings::Millis now() {
-    using Span = std::chrono::duration<double, std::milli>;
-    return Span(std::chrono::steady_clock::now().time_since_epoch()).count();
-}
-
 }  // namespace
 
 OpeningsService::OpeningsService(boost::asio::io_context& io, rpc::Client& client, rpc::Server& server,
@@ -31,25 +27,25 @@
                                                    rpc::Server::Responder<wire::OpeningsReply> respond) {
             if (alive.expired()) return;
             ++words_;
-            respond(openings::answer(merger_, request, now()));
+            respond(openings::answer(merger_, request, steady_millis()));
+            if (!ticking_) tick();
         });
     server.on<wire::OpeningsSubtotal, wire::OpeningsSubtotalReply>(
         openings::kOpeningsSubtotal, [this, alive = std::weak_ptr<int>(alive_)](
                                          const wire::OpeningsSubtotal& subtotal,
                                          rpc::Server::Responder<wire::OpeningsSubtotalReply> respond) {
             if (alive.expired()) return;
-            merger_.heard(openings::from_wire(subtotal), now());
+            merger_.heard(openings::from_wire(subtotal), steady_millis());
             wire::OpeningsSubtotalReply reply;
             reply.protocol = openings::kOpeningsProtocol;
             respond(reply);
         });
 }
 
-void OpeningsService::start() { tick(); }
-
 void OpeningsService::tick() {
-    timer_.after(kTick, [this] { tick(); });
-    const std::optional<openings::Subtotal> subtotal = merger_.subtotal(now());
+    const std::optional<openings::Subtotal> subtotal = merger_.subtotal(steady_millis());
+    ticking_ = subtotal || merger_.nodes() > 0;
+    if (ticking_) timer_.after(kTick, [this] { tick(); });
     if (!subtotal) return;
     const wire::OpeningsSubtotal message = openings::to_wire(*subtotal);
     for (const std::string& address : options_.controls()) {
@@ -62,7 +58,7 @@
     }
 }
 
-std::vector<openings::OpeningView> OpeningsService::views() { return merger_.views(now()); }
+std::vector<openings::OpeningView> OpeningsService::views() { return merger_.views(steady_millis()); }
 
 std::string OpeningsService::counters() const {
     return "nodes=" + std::to_string(merger_.nodes()) + " sources=" + std::to_string(merger_.sources()) +
--- a/src/control_plane/openings_service.hpp
+++ b/src/control_plane/openings_service.hpp
@@ -24,19 +24,19 @@
     };
     OpeningsService(boost::asio::io_context& io, rpc::Client& client, rpc::Server& server, Options options);
 
-    void start();
-
     std::vector<openings::OpeningView> views();
     std::size_t nodes() const { return merger_.nodes(); }
     std::string counters() const;
 
 private:
+    // Tells the others, for as long as there are nodes that tell this process.
     void tick();
 
     rpc::Client& client_;
     Options options_;
     openings::Merger merger_;
     LoopTimer timer_;
+    bool ticking_ = false;
     std::uint64_t words_ = 0, subtotals_ = 0, failed_ = 0;
     std::shared_ptr<int> alive_ = std::make_shared<int>(0);  // calls that end later look whether it is there
 };
--- a/src/data_plane/openings_share.cpp
+++ b/src/data_plane/openings_share.cpp
@@ -6,6 +6,7 @@
 #include <tuple>
 #include <utility>
 
+#include "io/steady_millis.hpp"
 #include "openings/calls.hpp"
 #include "openings/messages.hpp"
 #include "placement/prompt.hpp"
@@ -18,11 +19,6 @@
 constexpr std::chrono::milliseconds kTimeout{400};
 constexpr std::uint64_t kFailuresUntilNext = 2;
 
-openings::Millis now() {
-    using Span = std::chrono::duration<double, std::milli>;
-    return Span(std::chrono::steady_clock::now().time_since_epoch()).count();
-}
-
 }  // namespace
 
 OpeningsShare::OpeningsShare(boost::asio::io_context& io, rpc::Client& client, Options options)
@@ -32,14 +28,14 @@
     if (std::exchange(on_, on) == on) return;
     if (on) return look();
     timer_.cancel();
-    teller_ = openings::Teller();
+    teller_.forget();
     alive_ = std::make_shared<int>(0);  // the word that is out is nobody's
     publish({});
 }
 
 void OpeningsShare::look() {
     timer_.after(kLook, [this] { look(); });
-    const openings::Millis at = now();
+    const openings::Millis at = steady_millis();
     if (teller_.sum(at).empty() && holds_sum_) publish({});
     if (!teller_.is_open(at)) return;
     if (const auto word = teller_.due(options_.seen(), at)) tell(*word);
@@ -55,7 +51,7 @@
             if (alive.expired()) return;
             ended(reply.has_value());
             if (!reply) return teller_.failed();
-            const openings::Millis at = now();
+            const openings::Millis at = steady_millis();
             if (teller_.answered(openings::from_wire(reply.value()), at)) publish(teller_.sum(at));
         });
 }
--- a/src/openings/teller.cpp
+++ b/src/openings/teller.cpp
@@ -32,11 +32,18 @@
 
 void Teller::failed() { is_out_ = false; }
 
+void Teller::forget() {
+    is_out_ = false;
+    source_ = 0;
+    version_ = 0;
+    sum_.clear();
+}
+
 const Traffic& Teller::sum(Millis now) {
     if (source_ != 0 && now - heard_at_ > options_.holds) {
-        sum_.clear();
         source_ = 0;
         version_ = 0;
+        sum_.clear();
     }
     return sum_;
 }
--- a/src/openings/teller.hpp
+++ b/src/openings/teller.hpp
@@ -38,6 +38,8 @@
     // The word that is out has its answer. True: the sum is another.
     bool answered(Answer answer, Millis now);
     void failed();
+    // The word that is out and the sum are forgotten; later words still count as newer than those before.
+    void forget();
 
     // As last heard; empty where that was too long ago.
     const Traffic& sum(Millis now);
--- a/src/placement/placement.hpp
+++ b/src/placement/placement.hpp
@@ -146,7 +146,6 @@
     // Which shared beginnings are busiest of late, by what came through here, and how often requests came.
     std::vector<BusyStart> busiest(std::size_t most, Millis now) const { return starts_.busiest(most, now); }
     double request_rate(Millis now) const { return starts_.request_rate(now); }
-    std::uint64_t counted() const { return starts_.counted(); }
     // What other processes have seen: beginnings that are shared, and which share of the service's requests
     // begins so. In place of what was told before. A hint: it counts as much as 50 requests that came through
     // here.
--- a/src/placement/start_rates.cpp
+++ b/src/placement/start_rates.cpp
@@ -30,7 +30,6 @@
     : options_(options), weight_(options.memory), recent_weight_(options.recent_memory) {}
 
 void StartRates::count(std::span<const PromptPart> starts, std::uint64_t program, Millis now) {
-    ++counted_;
     if (weight_.is_worn(now) || recent_weight_.is_worn(now)) rebase(now);
     const double weight = weight_.at(now), recent = recent_weight_.at(now);
     requests_ += weight;
--- a/src/placement/start_rates.hpp
+++ b/src/placement/start_rates.hpp
@@ -57,7 +57,6 @@
     // Requests of late that a count may be too low by.
     double error_bound(Millis now) const;
     std::size_t size() const { return starts_.size(); }
-    std::uint64_t counted() const { return counted_; }
 
 private:
     // Sums that fade, kept as sums of weights that grow: only what is added has to be worked out.
@@ -89,7 +88,6 @@
     std::unordered_map<std::uint64_t, Start> starts_;
     double requests_ = 0, recent_ = 0;  // all, in weights
     double deducted_ = 0;               // from each count so far, in weights
-    std::uint64_t counted_ = 0;
 };
 
 }  // namespace whinledge::placement
--- a/tests/tier/openings/share_test.cpp
+++ b/tests/tier/openings/share_test.cpp
@@ -20,9 +20,7 @@
     Control(boost::asio::io_context& io, unsigned index, std::uint64_t source)
         : client(io),
           server(io, test::own_endpoint(io, index)),
-          service(io, client, server, {source, [this] { return others; }}) {
-        service.start();
-    }
+          service(io, client, server, {source, [this] { return others; }}) {}
     std::string address() const { return test::text_of(server.address()); }
     wire::NodeInfo info(const std::string& zone) const {
         wire::NodeInfo info;
--- a/tests/tier/openings/teller_test.cpp
+++ b/tests/tier/openings/teller_test.cpp
@@ -61,6 +61,17 @@
     EXPECT_TRUE(teller.sum(3001).empty());
 }
 
+// A node switched off and on again would not be heard while its older words hold.
+TEST(Teller, WordsAfterForgettingAreNewerThanThoseBefore) {
+    Teller teller;
+    const auto before = teller.due(chat(1), 0);
+    teller.forget();
+    const auto after = teller.due(chat(1), 300);
+    ASSERT_TRUE(before && after);
+    EXPECT_GT(after->sequence, before->sequence);
+    EXPECT_TRUE(teller.sum(300).empty());
+}
+
 TEST(Teller, AnotherControlProcessesSumTakesThePlace) {
     Teller teller;
     teller.due({}, 0);
