Leases: one holder across changes of the voters; orders, cuts, losses, bytes as models

Cause: voters are the acceptors of an epoch of the register, and nobody said of which. Majorities of two epochs need not meet, so a holder whose voters were left out could go on beside one whom the next voters chose (model with epochs: two holders). Change: a request names the epoch whose voters it counts and whether the holder holds the lease as it asks; a voter refuses who counts an epoch that is over or whose end it has accepted, and for a grant's time after it hears of an epoch grants to the holder alone. Older builds don't say it and are served as before. What an order's answer may be is a pure core now (OrderAttempt), which the tests share with the API.

--- a/idl/control.thrift
+++ b/idl/control.thrift
@@ -172,6 +172,8 @@
   4: string node;                      // of the holder, for people
   5: i32 hold_ms = 0;
   6: i64 fencing = 0;                  // the number that the holder would hold it under
+  7: optional i64 epoch;               // of the register, whose acceptors the holder counts as voters
+  8: optional bool renews;             // the holder holds it as it asks
 }
 struct LeaseReply {
   1: i32 protocol = 1;
--- a/src/consensus/register_service.cpp
+++ b/src/consensus/register_service.cpp
@@ -212,6 +212,13 @@
 
 std::vector<wire::Acceptor> RegisterService::acceptors() const { return impl_->core().known().acceptors; }
 
+std::int64_t RegisterService::epoch() const { return impl_->core().known().epoch; }
+
+bool RegisterService::epoch_ends() const {
+    const Acceptor& acceptor = impl_->core().acceptor();
+    return acceptor.installed().epoch == epoch() && !acceptor.entry().seal.empty();
+}
+
 std::optional<bool> RegisterService::takes_writes(const std::string& address) const {
     return impl_->core().takes_writes(address);
 }
--- a/src/consensus/register_service.hpp
+++ b/src/consensus/register_service.hpp
@@ -63,7 +63,10 @@
     // then.
     void set_present(const std::vector<wire::NodeInfo>& present);
 
-    // The acceptors in force as far as known.
+    // The newest epoch that is known, and whether the own acceptor has accepted its end.
+    std::int64_t epoch() const;
+    bool epoch_ends() const;
+    // Its acceptors.
     std::vector<wire::Acceptor> acceptors() const;
     // Whether the disk of the process at `address` takes what is written, as far as that was told of late.
     std::optional<bool> takes_writes(const std::string& address) const;
--- a/src/control_plane/control_process.cpp
+++ b/src/control_plane/control_process.cpp
@@ -142,11 +142,12 @@
       leases_(client_, server_,
               LeaseService::Options{draw_identity(), settings.node, settings.first_boot,
                                     [this] {
-                                        std::vector<std::string> voters;
+                                        LeaseVoters voters{register_.epoch(), {}};
                                         for (const wire::Acceptor& acceptor : register_.acceptors())
-                                            voters.push_back(acceptor.address);
+                                            voters.addresses.push_back(acceptor.address);
                                         return voters;
-                                    }}),
+                                    },
+                                    [this] { return register_.epoch_ends(); }}),
       list_reader_(
           io, client_, server_, leases_,
           ServersListReader::Options{settings.node, settings.list_address, settings.list_calls_per_second,
--- a/src/control_plane/lease.hpp
+++ b/src/control_plane/lease.hpp
@@ -2,6 +2,12 @@
 // holder's time is shorter than the grantors', by the bound on how far clock rates differ, and starts at the
 // moment it asked. Fencing numbers rise from holder to holder and go with what the holder does. Pure: the
 // caller brings time and carries the messages.
+//
+// Voters change with the register's epoch, and majorities of two epochs need not meet. So a voter grants
+// nothing to who counts the voters of an epoch that it knows to be over, or whose end it has accepted; and
+// for a grant's time after it learns of an epoch it grants only to the one who says that it holds the lease.
+// Each majority that ended the old epoch met the one that granted under it: by the time a voter of the new
+// epoch grants anything to anybody else, whatever was granted under the old one has run out.
 #pragma once
 
 #include <chrono>
@@ -30,6 +36,12 @@
     Span retry_min{150}, retry_max{450};
 };
 
+// Who votes: the acceptors of an epoch of the register.
+struct LeaseVoters {
+    std::int64_t epoch = 0;  // 0: not told, as by older versions; voters never change then
+    std::vector<std::string> addresses;
+};
+
 // One voter's memory of a lease.
 class LeaseGrantor {
 public:
@@ -37,6 +49,9 @@
     explicit LeaseGrantor(Instant grants_from, Span grant = LeaseTimes().grant)
         : grants_from_(grants_from), grant_(grant) {}
 
+    // The newest epoch that this voter knows of, and whether it has accepted the end of it. To be told ahead
+    // of each request.
+    void observe(std::int64_t epoch, bool ends, Instant now);
     wire::LeaseReply handle(const wire::LeaseRequest& request, Instant now);
     // Whether somebody else than `holder` has it as far as this voter knows.
     bool taken_by_other(std::int64_t holder, Instant now) const;
@@ -45,9 +60,15 @@
     bool held(Instant now) const { return holder_ != 0 && now < until_; }
 
 private:
+    bool votes_for(const wire::LeaseRequest& request, Instant now);
+    void begin_epoch(std::int64_t epoch, Instant now);
+
     Instant grants_from_;
     Span grant_;
-    std::int64_t holder_ = 0;  // 0: nobody
+    std::int64_t epoch_ = 0;      // 0: none is known
+    bool epoch_ends_ = false;     // this voter has accepted its end
+    Instant new_holders_from_{};  // before, nobody else than the holder is granted it in this epoch
+    std::int64_t holder_ = 0;     // 0: nobody
     std::string node_;
     Instant until_{};
     std::int64_t fencing_ = 0;  // highest that was granted
@@ -66,7 +87,7 @@
     };
     // Voters are named by address. `unix_ms` keeps fencing numbers rising when all voters have forgotten
     // them.
-    std::vector<Send> tick(Instant now, const std::vector<std::string>& voters, std::int64_t unix_ms);
+    std::vector<Send> tick(Instant now, const LeaseVoters& voters, std::int64_t unix_ms);
     // `reply` null: none came. `round`: that of the request.
     void on_reply(std::uint64_t round, const std::string& from, const wire::LeaseReply* reply, Instant now);
     std::uint64_t round() const { return round_; }
@@ -93,7 +114,8 @@
     LeaseTimes times_;
     Phase phase_ = Phase::idle;
     std::uint64_t round_ = 0;
-    std::vector<std::string> voters_;  // of this round
+    LeaseVoters voters_;   // of this round
+    bool renews_ = false;  // it was held as this round began
     // Of them: who granted it, who replied in time, and whose calls have ended, by a reply or without one.
     std::set<std::string> granted_, answered_, ended_;
     Instant asked_{}, next_{}, until_{};
--- a/src/control_plane/lease_service.cpp
+++ b/src/control_plane/lease_service.cpp
@@ -25,7 +25,9 @@
 
     wire::LeaseReply handle(const wire::LeaseRequest& request) {
         if (!grantors_.count(request.lease) && grantors_.size() >= kMostLeases) return {};
-        return grantor(request.lease).handle(request, now());
+        LeaseGrantor& voter = grantor(request.lease);
+        voter.observe(options_.voters().epoch, options_.epoch_ends(), now());
+        return voter.handle(request, now());
     }
 
     void seek(const std::string& lease) {
--- a/src/control_plane/lease_service.hpp
+++ b/src/control_plane/lease_service.hpp
@@ -21,7 +21,9 @@
         std::int64_t holder = 0;  // drawn at the start of the process
         std::string node;
         bool nothing_forgotten = false;  // the system's first start: no lease can have been granted before
-        std::function<std::vector<std::string>()> voters;  // addresses
+        std::function<LeaseVoters()> voters;
+        // Whether this process has accepted the end of the epoch whose voters are told.
+        std::function<bool()> epoch_ends;
     };
     LeaseService(rpc::Client& client, rpc::Server& server, Options options);
     ~LeaseService();
--- a/src/control_plane/operator_api.cpp
+++ b/src/control_plane/operator_api.cpp
@@ -41,36 +41,22 @@
     return value;
 }
 
-// What an order came to. A try whose accept round got no clear answer may yet be chosen: from then on only a
-// success can be told for certain.
-struct Attempt {
-    SettingsOrder order;
-    bool proposed = false;
-    OrderDecision last = OrderDecision::other_version;
-
-    std::optional<wire::RegisterState> apply(const wire::RegisterState& current) {
-        last = decide(current, order);
-        if (last != OrderDecision::take) return std::nullopt;
-        proposed = true;
-        return taken(current, order);
+HttpAnswer answer_of(const OrderAttempt& attempt, const StateResult& result) {
+    switch (attempt.answer(result)) {
+        case OrderAnswer::acknowledged:
+            return {200, Json{{"version", attempt.order().version}}.dump(), std::nullopt};
+        case OrderAnswer::not_above:
+            return fault(400, "`version` must be above the current one");
+        case OrderAnswer::other_version:
+            return fault(412, "`Based-On` is not the current version; read the settings and build on them");
+        case OrderAnswer::unavailable:
+            break;
     }
-};
-
-HttpAnswer acknowledged(const SettingsOrder& order) {
-    return {200, Json{{"version", order.version}}.dump(), std::nullopt};
-}
-
-HttpAnswer answer_of(const Attempt& attempt, const StateResult& result) {
-    if (result) return acknowledged(attempt.order);
     if (result.error().failure != RegisterFailure::rejected)
         return unavailable(result.error().message + "; send the same order again");
-    if (attempt.last == OrderDecision::taken_before) return acknowledged(attempt.order);
-    if (attempt.last == OrderDecision::forgotten)
+    if (attempt.last() == OrderDecision::forgotten)
         return unavailable("whether so old an order was taken is not known any more; read the settings");
-    if (attempt.proposed) return unavailable("another change came between; send the same order again");
-    if (attempt.last == OrderDecision::not_above)
-        return fault(400, "`version` must be above the current one");
-    return fault(412, "`Based-On` is not the current version; read the settings and build on them");
+    return unavailable("another change came between; send the same order again");
 }
 
 struct Retirement {
@@ -133,11 +119,9 @@
     if (!configuration) return respond(fault(400, configuration.error().message));
     const auto based_on = whole_number(request.based_on.value_or(""));
     if (!based_on) return respond(fault(400, "`Based-On` must be the version that the order builds on"));
-    const auto attempt = std::make_shared<Attempt>();
-    attempt->order.based_on = *based_on;
-    attempt->order.version = configuration.value()->version;
-    attempt->order.digest = digest_of(request.body);
-    attempt->order.body = std::move(request.body);
+    SettingsOrder order{*based_on, configuration.value()->version, digest_of(request.body), {}};
+    order.body = std::move(request.body);
+    const auto attempt = std::make_shared<OrderAttempt>(std::move(order));
     register_.change([attempt](const wire::RegisterState& current) { return attempt->apply(current); },
                      kRegisterTimeout,
                      [attempt, respond = std::move(respond)](StateResult result) {
--- a/src/control_plane/settings_order.cpp
+++ b/src/control_plane/settings_order.cpp
@@ -40,4 +40,19 @@
     return next;
 }
 
+std::optional<wire::RegisterState> OrderAttempt::apply(const wire::RegisterState& current) {
+    last_ = decide(current, order_);
+    if (last_ != OrderDecision::take) return std::nullopt;
+    proposed_ = true;
+    return taken(current, order_);
+}
+
+OrderAnswer OrderAttempt::answer(const consensus::RegisterResult<wire::RegisterState>& result) const {
+    if (result) return OrderAnswer::acknowledged;
+    if (result.error().failure != consensus::RegisterFailure::rejected) return OrderAnswer::unavailable;
+    if (last_ == OrderDecision::taken_before) return OrderAnswer::acknowledged;
+    if (last_ == OrderDecision::forgotten || proposed_) return OrderAnswer::unavailable;
+    return last_ == OrderDecision::not_above ? OrderAnswer::not_above : OrderAnswer::other_version;
+}
+
 }  // namespace whinledge::control_plane
--- a/src/control_plane/settings_order.hpp
+++ b/src/control_plane/settings_order.hpp
@@ -5,8 +5,9 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
-#include "control_types.h"  // generated from idl/control.thrift
+#include "consensus/register_types.hpp"
 
 namespace whinledge::control_plane {
 
@@ -34,4 +35,26 @@
 // The state in which the order is taken.
 wire::RegisterState taken(const wire::RegisterState& current, const SettingsOrder& order);
 
+// What may be told of an order. `unavailable`: whether it was or will be taken is not known.
+enum class OrderAnswer { acknowledged, other_version, not_above, unavailable };
+
+// One call with an order, as a change of the register. A try whose accept round got no clear answer may yet
+// be chosen: from then on only a success can be told for certain.
+class OrderAttempt {
+public:
+    explicit OrderAttempt(SettingsOrder order) : order_(std::move(order)) {}
+
+    const SettingsOrder& order() const { return order_; }
+    // The register's transform.
+    std::optional<wire::RegisterState> apply(const wire::RegisterState& current);
+    OrderAnswer answer(const consensus::RegisterResult<wire::RegisterState>& result) const;
+    // The newest decision.
+    OrderDecision last() const { return last_; }
+
+private:
+    SettingsOrder order_;
+    bool proposed_ = false;
+    OrderDecision last_ = OrderDecision::other_version;
+};
+
 }  // namespace whinledge::control_plane
--- a/tests/tier/consensus/acceptor_store_test.cpp
+++ b/tests/tier/consensus/acceptor_store_test.cpp
@@ -4,6 +4,9 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <cstdio>
+#include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <memory>
@@ -152,5 +155,40 @@
     }
 }
 
+// How many by hand: REGISTER_CHANGES=100000.
+std::int64_t changes() {
+    const char* const more = std::getenv("REGISTER_CHANGES");
+    return more != nullptr ? std::strtoll(more, nullptr, 10) : 1000;
+}
+
+// Change upon change, with a restart at every tenth part: the folder's size does not depend on how many there
+// were.
+TEST_F(AcceptorStoreTest, TheDiskHoldsAFewStatesHoweverManyChangesThereWere) {
+    constexpr std::size_t kConfiguration = 20'000;
+    constexpr std::uint64_t kMostBytes =
+        2U << 20;  // of 128 MB that a deployment gives: a segment and its successor
+    auto store = open(true);
+    Acceptor state = store->opened();
+    ASSERT_TRUE(write(*store, state, installed()));
+    std::uint64_t most = 0;
+    const std::int64_t count = changes();
+    for (std::int64_t change = 1; change <= count; ++change) {
+        ASSERT_TRUE(write(*store, state, accepted(change, std::string(kConfiguration, 'c'))));
+        std::uint64_t bytes = 0;
+        if (change % 10 == 0)
+            for (const auto& entry : std::filesystem::directory_iterator(folder_ / "data"))
+                bytes += entry.file_size();
+        most = std::max(most, bytes);
+        if (change % (count / 10) != 0) continue;
+        store = open(false);
+        ASSERT_EQ(store->opened().accepted().round, change);
+        ASSERT_EQ(store->opened().entry(), state.entry());
+        EXPECT_EQ(segments(), 1U);
+    }
+    std::printf("[ figures  ] %lld changes of %zu bytes: %llu bytes on the disk at most\n",
+                static_cast<long long>(count), kConfiguration, static_cast<unsigned long long>(most));
+    EXPECT_LE(most, kMostBytes);
+}
+
 }  // namespace
 }  // namespace whinledge::consensus
--- a/tests/tier/consensus/simulation.cpp
+++ b/tests/tier/consensus/simulation.cpp
@@ -4,6 +4,8 @@
 #include <iterator>
 #include <utility>
 
+#include "rpc/codec.hpp"
+
 namespace whinledge::consensus::test {
 
 // ---- The checker
@@ -207,6 +209,7 @@
 void Simulation::heal() {
     cuts_.clear();
     one_way_cuts_.clear();
+    silent_acceptors_.clear();
     network.lost = network.doubled = network.very_late = 0;
     for (Machine& machine : machines_) {
         machine.full = machine.crash_at_write = false;
@@ -271,6 +274,18 @@
     return network.least_delay + static_cast<Millis>(draw(spread)) + late;
 }
 
+template <class Message>
+void Simulation::count_bytes(std::size_t a, std::size_t b, const Message& message) {
+    if (!counts_bytes) return;
+    std::uint64_t bytes = 0;
+    if constexpr (std::is_same_v<Message, AcceptorRequest>)
+        bytes = std::visit([](const auto& one) { return rpc::encode_body(one).size(); }, message);
+    else
+        bytes = rpc::encode_body(message).size();
+    machines_[a].bytes += bytes;
+    machines_[b].bytes += bytes;
+}
+
 template <class Request, class Reply>
 void Simulation::carry(std::size_t from, const std::string& address, const Request& request, Millis timeout,
                        std::function<void(std::optional<Reply>)> done) {
@@ -292,13 +307,17 @@
     for (int copy = 0; copy < copies; ++copy) {
         const std::optional<Millis> delay = transit(from, to);
         if (!delay) continue;
+        count_bytes(from, to, request);
         at(now_ + *delay, [this, from, life, to, request, answer] {
             if (!machines_[to].core) return;
             on_machine(now_, to, machines_[to].life, [this, from, life, to, request, answer] {
                 const auto send_back = [this, from, life, to, request, answer](std::optional<Reply> reply) {
                     if constexpr (std::is_same_v<Request, AcceptorRequest>) mark(to, refusal(request, reply));
                     const std::optional<Millis> back = transit(to, from);
-                    if (!reply || !back) return;
+                    const bool silent =
+                        std::is_same_v<Request, AcceptorRequest> && silent_acceptors_.count(to) != 0;
+                    if (!reply || !back || silent) return;
+                    count_bytes(from, to, *reply);
                     on_machine(now_ + *back, from, life, [answer, reply] { answer(reply); });
                 };
                 if constexpr (std::is_same_v<Request, AcceptorRequest>)
--- a/tests/tier/consensus/simulation.hpp
+++ b/tests/tier/consensus/simulation.hpp
@@ -90,6 +90,8 @@
     void crash_at_next_write(std::size_t machine) { machines_[machine].crash_at_write = true; }
     void cut(std::size_t a, std::size_t b, bool cut);
     void cut_one_way(std::size_t from, std::size_t to) { one_way_cuts_.insert({from, to}); }
+    // Its acceptor alone says nothing to others.
+    void silence_acceptor(std::size_t machine) { silent_acceptors_.insert(machine); }
     void heal();
     Network network;
     ReconfigurationLimits reconfiguration;  // of processes that start from now on
@@ -108,6 +110,10 @@
     };
     const Outcomes& outcomes() const { return outcomes_; }
 
+    // Encoded messages that have come to a machine, and what it answered, since the start.
+    bool counts_bytes = false;
+    std::uint64_t bytes_at(std::size_t machine) const { return machines_[machine].bytes; }
+
     Checker checker;
     std::function<void(std::size_t machine, const std::string& text)> on_mark;
 
@@ -125,6 +131,7 @@
         std::vector<wire::AcceptorRecord> writing;  // under way
         Millis held_until = 0;
         bool started = false, full = false, crash_at_write = false;
+        std::uint64_t bytes = 0;
     };
     struct Event {
         Millis at;
@@ -137,6 +144,8 @@
     template <class Request, class Reply>
     void carry(std::size_t from, const std::string& address, const Request& request, Millis timeout,
                std::function<void(std::optional<Reply>)> done);
+    template <class Message>
+    void count_bytes(std::size_t a, std::size_t b, const Message& message);
     // Runs on a machine unless it has died since, later where it is frozen.
     void on_machine(Millis time, std::size_t machine, std::uint64_t life, std::function<void()> act);
     std::optional<Millis> transit(std::size_t from, std::size_t to);
@@ -157,6 +166,7 @@
     std::size_t seeds_;
     std::vector<Machine> machines_;
     std::set<std::pair<std::size_t, std::size_t>> cuts_, one_way_cuts_;
+    std::set<std::size_t> silent_acceptors_;
     std::priority_queue<Event> events_;
     std::uint64_t orders_ = 0;
     std::int64_t identities_ = 0, starts_ = 0;
--- a/tests/tier/control_plane/control_fuzz_test.cpp
+++ b/tests/tier/control_plane/control_fuzz_test.cpp
@@ -44,7 +44,7 @@
             grantor.emplace(Instant());
             holder.emplace("duty", 5, "a", 1);
         }
-        for (const LeaseHolder::Send& send : holder->tick(now, {"a", "b", "c"}, 1000 + round)) {
+        for (const LeaseHolder::Send& send : holder->tick(now, {0, {"a", "b", "c"}}, 1000 + round)) {
             wire::LeaseReply reply;
             take_mutated(send.request, random, [&](const wire::LeaseRequest& request) {
                 reply = grantor->handle(request, now);
@@ -129,11 +129,11 @@
     EXPECT_FALSE(grantor.handle(request, now).granted);
     EXPECT_EQ(grantor.fencing(), 0);
     LeaseHolder holder("duty", 5, "a", 1);
-    ASSERT_EQ(holder.tick(now, {"a"}, 1000).size(), 1U);
+    ASSERT_EQ(holder.tick(now, {0, {"a"}}, 1000).size(), 1U);
     wire::LeaseReply reply;
     reply.fencing = kHighest;
     holder.on_reply(holder.round(), "a", &reply, now);
-    const auto next = holder.tick(now + Span(1000), {"a"}, 2000);
+    const auto next = holder.tick(now + Span(1000), {0, {"a"}}, 2000);
     ASSERT_EQ(next.size(), 1U);
     EXPECT_EQ(next[0].request.fencing, 2000);
 }
--- a/tests/tier/control_plane/hard_case.hpp
+++ b/tests/tier/control_plane/hard_case.hpp
@@ -50,27 +50,21 @@
         return result;
     }
     struct Order {
-        SettingsOrder order;
-        std::optional<OrderDecision> last;
+        OrderAttempt attempt;
         std::optional<RegisterResult<wire::RegisterState>> result;
-        bool acknowledged() const {
-            return result && (result->has_value() || last == OrderDecision::taken_before);
-        }
+        bool acknowledged() const { return result && attempt.answer(*result) == OrderAnswer::acknowledged; }
         bool refused() const {
-            return result && !result->has_value() && result->error().failure == RegisterFailure::rejected &&
-                   last != OrderDecision::taken_before;
+            if (!result) return false;
+            const OrderAnswer answer = attempt.answer(*result);
+            return answer == OrderAnswer::other_version || answer == OrderAnswer::not_above;
         }
     };
     std::shared_ptr<Order> replace(std::size_t machine, std::int64_t based_on, std::int64_t version,
                                    const std::string& body) {
-        auto order = std::make_shared<Order>();
-        order->order = {based_on, version, digest_of(body), body};
+        auto order = std::make_shared<Order>(
+            Order{OrderAttempt({based_on, version, digest_of(body), body}), std::nullopt});
         world->core(machine).change(
-            [order](const wire::RegisterState& current) -> std::optional<wire::RegisterState> {
-                order->last = decide(current, order->order);
-                if (order->last != OrderDecision::take) return std::nullopt;
-                return taken(current, order->order);
-            },
+            [order](const wire::RegisterState& current) { return order->attempt.apply(current); },
             kCallTimeout,
             [order](RegisterResult<wire::RegisterState> answer) {
                 order->result.emplace(std::move(answer));
--- a/tests/tier/control_plane/lease_walk_test.cpp
+++ b/tests/tier/control_plane/lease_walk_test.cpp
@@ -100,7 +100,7 @@
     void step(int i) {
         Process& process = processes_[i];
         if (i < kHolders) {
-            auto sends = process.holder->tick(local(i), voters_, 1000 + now_);
+            auto sends = process.holder->tick(local(i), LeaseVoters{0, voters_}, 1000 + now_);
             const std::uint64_t round = process.holder->round();
             for (const LeaseHolder::Send& send : sends) ask(i, send.to[0] - 'a', send.request, round);
         }
