--- a/tests/tier/storage_plane/storage_cluster.hpp
+++ b/tests/tier/storage_plane/storage_cluster.hpp
@@ -98,8 +98,8 @@
     bool planted_vote_when_empty =
         false;  // a fault for the checker to find: wiped members vote at once, and nothing is repaired
     bool planted_leaves_unemptied = false;  // another: a retiring member goes before others hold what it does
-    bool planted_no_sync = false;            // another: disks say that they have synced
-    bool planted_answers_unsynced = false;   // another: members answer before they have synced
+    bool planted_no_sync = false;           // another: disks say that they have synced
+    bool planted_answers_unsynced = false;  // another: members answer before they have synced
     bool planted_serves_stale_maps = false;  // another: callers with older maps are served
     bool planted_half_digests = false;       // another: half of the ranges are not compared
     bool planted_skips_last_range = false;   // another: the last of the ranges is not compared
@@ -478,7 +478,8 @@
                     member.state = wire::StorageState::member;
                     changed = true;
                 }
-                if (member.state == wire::StorageState::retiring && (machine->repair->note() == "emptied" || planted_leaves_unemptied))
+                if (member.state == wire::StorageState::retiring &&
+                    (machine->repair->note() == "emptied" || planted_leaves_unemptied))
                     retired.insert(machine->node);
             }
         }
