--- a/tests/tier/consensus/acceptor_store_test.cpp
+++ b/tests/tier/consensus/acceptor_store_test.cpp
@@ -155,6 +155,33 @@
     }
 }
 
+// A loss of power as one segment follows another may leave each name or not, once the newer one was synced
+// under its own: whichever are left, the newest state is read, and what was half made is gone.
+TEST_F(AcceptorStoreTest, ASegmentsChangeWhoseNamesAreKeptOrLostOneByOne) {
+    for (const bool older_stays : {false, true})
+        for (const bool half_made_stays : {false, true}) {
+            const std::filesystem::path data = folder_ / "data";
+            std::filesystem::remove_all(data);
+            auto store = open(true);
+            Acceptor state = store->opened();
+            ASSERT_TRUE(write(*store, state, installed()));
+            const std::filesystem::path first = segment(), kept = folder_ / "first";
+            std::int64_t round = 0;
+            while (segment() == first) {
+                std::filesystem::copy_file(first, kept, std::filesystem::copy_options::overwrite_existing);
+                ASSERT_TRUE(write(*store, state, accepted(++round, std::string(200'000, 'c'))));
+            }
+            const std::filesystem::path second = segment();
+            store.reset();
+            if (older_stays) std::filesystem::copy_file(kept, first);
+            if (half_made_stays) std::ofstream(second.string() + ".new") << "half";
+            store = open(false);
+            EXPECT_EQ(store->opened().accepted().round, round) << older_stays << half_made_stays;
+            EXPECT_EQ(segments(), 1U);
+            EXPECT_FALSE(std::filesystem::exists(second.string() + ".new"));
+        }
+}
+
 // How many by hand: REGISTER_CHANGES=100000.
 std::int64_t changes() {
     const char* const more = std::getenv("REGISTER_CHANGES");
