Loads that servers don't tell: proxies tell them with their turns, and are told what others have

Change: a turn's begin and end bring storage members what its proxy has under way at model servers; the reply to a begin has what others have at up to 64 servers, and how old that is.

--- a/idl/storage.thrift
+++ b/idl/storage.thrift
@@ -31,6 +31,19 @@
   conflict = 6,              // a turn of this id is held with other bytes
 }
 
+/** What a proxy has under way at one model server. */
+struct ServerRequests {
+  1: i32 server = 0;         // the low bits of xxHash64(its id)
+  2: i32 requests = 0;
+}
+/** What a proxy has under way, told with its turns; all members sum up what they are told. */
+struct LoadReport {
+  1: i64 proxy = 0;          // drawn at its start
+  2: i64 number = 0;         // of its reports, rising: one that comes late is not taken
+  3: list<ServerRequests> under_way;  // at all servers where that is anything
+  4: list<i32> asked;        // servers, as above, whose requests from other proxies are to be told
+}
+
 /** Before a turn is sent: reserves its tokens (synced before the answer) and reads the chain it continues. */
 struct BeginTurnRequest {
   1: i32 protocol = 1;
@@ -42,6 +55,7 @@
   7: string previous;        // empty: none
   8: i32 keep_for_s = 0;
   9: optional i64 ended_digest;  // of the program's ended entries that the caller knows; absent: it knows none
+  10: optional LoadReport load;
 }
 struct BeginTurnReply {
   1: i32 status = 0;         // StorageStatus
@@ -49,6 +63,8 @@
   3: list<LedgerEntry> entries;      // of this program, the one just made included
   4: list<TurnRecord> chain;         // from `previous` back, as far as this member holds it
   5: optional bool same_ended;       // it holds just the ended entries of the caller's digest: `entries` leaves them out
+  6: optional list<i32> other_requests;  // of other proxies, by server asked for in the load report
+  7: i32 load_age_ms = 0;    // of what proxies have told, in the mean
 }
 
 /** After a turn: writes its record (where there is one) and settles its reservation; synced before the answer. */
@@ -60,6 +76,7 @@
   5: LedgerEntry entry;
   6: optional TurnRecord record;
   7: i32 keep_for_s = 0;
+  8: optional LoadReport load;
 }
 struct EndTurnReply {
   1: i32 status = 0;         // StorageStatus
--- a/src/data_plane/proxy.cpp
+++ b/src/data_plane/proxy.cpp
@@ -72,13 +72,6 @@
     return {options.self, options.seeds};
 }
 
-storage_plane::TurnClient::Options turn_options(const node::Settings& settings) {
-    storage_plane::TurnClient::Options options;
-    options.zone = settings.zone;
-    options.machine_losses = settings.tolerated_losses();
-    return options;
-}
-
 placement::AdmissionSettings admission_settings(const node::Settings& settings) {
     placement::AdmissionSettings admission;
     admission.on = settings.bound_programs;
@@ -120,7 +113,7 @@
       feed_(io, rpc_, feed_options(settings, static_cast<std::int64_t>(random_() >> 1))),
       relay_(io, rpc_, feed_, relay_options(settings)),
       openings_(io, rpc_, openings_options()),
-      turn_client_(io, rpc_, turn_options(settings)),
+      turn_client_(io, rpc_, turn_options()),
       turns_(std::make_unique<Turns>(turn_client_)),
       host_{clock_, pools_, *turns_, [this] { return std::uniform_real_distribution<double>()(random_); },
             [this](const std::string& server) {
@@ -162,6 +155,16 @@
     return options;
 }
 
+storage_plane::TurnClient::Options Proxy::turn_options() {
+    storage_plane::TurnClient::Options options;
+    options.zone = settings_.zone;
+    options.machine_losses = settings_.tolerated_losses();
+    if (!settings_.share_loads) return options;
+    options.load = [this] { return pools_.load_report(); };
+    options.loads_told = [this](const storage_plane::ToldLoads& told) { pools_.loads_told(told); };
+    return options;
+}
+
 OpeningsShare::Options Proxy::openings_options() {
     OpeningsShare::Options options;
     options.node = random_();
--- a/src/data_plane/proxy.hpp
+++ b/src/data_plane/proxy.hpp
@@ -51,6 +51,7 @@
 
 private:
     ServicePools::Options pool_options();
+    storage_plane::TurnClient::Options turn_options();
     OpeningsShare::Options openings_options();
     // The storage plane as exchanges see it.
     class Turns;
--- a/src/data_plane/service_pools.cpp
+++ b/src/data_plane/service_pools.cpp
@@ -9,11 +9,12 @@
 
 namespace {
 
-constexpr Millis kWarmWithin = 10000;       // a server counts as cold for so long at most
-constexpr double kColdFrom = 0.3;           // its capacity as it starts, as a share
-constexpr double kCrossZoneFee = 0.3;       // of leaving the zone, in aims
-constexpr Millis kDoubt = 2000;             // of a server at which a connection broke, by all classes
-constexpr std::uint32_t kMostAttempts = 6;  // over all routes; a route's tries bound them further
+constexpr std::size_t kMostServersAsked = 64;  // by one load report
+constexpr Millis kWarmWithin = 10000;          // a server counts as cold for so long at most
+constexpr double kColdFrom = 0.3;              // its capacity as it starts, as a share
+constexpr double kCrossZoneFee = 0.3;          // of leaving the zone, in aims
+constexpr Millis kDoubt = 2000;                // of a server at which a connection broke, by all classes
+constexpr std::uint32_t kMostAttempts = 6;     // over all routes; a route's tries bound them further
 // Aims of classes made ahead for routes to come, beside those of the routes at hand. A pool's classes stay.
 constexpr Millis kLeastAim = 25;
 constexpr double kAimStep = 2;
@@ -275,6 +276,33 @@
     if (placement && placement::parse_load(text, load)) placement->load_seen(server, load, engine_.now());
 }
 
+wire::LoadReport ServicePools::load_report() {
+    wire::LoadReport report;
+    report.proxy = static_cast<std::int64_t>(options_.seed);
+    report.number = ++load_reports_;
+    for (const auto& [service, pool] : pools_) {
+        if (!pool.placement) continue;
+        for (const placement::Placement::OwnRequests& own : pool.placement->own_requests()) {
+            wire::ServerRequests at;
+            at.server = static_cast<std::int32_t>(own.server);
+            at.requests = own.requests;
+            report.under_way.push_back(at);
+        }
+        const std::size_t room = kMostServersAsked - std::min(report.asked.size(), kMostServersAsked);
+        for (const std::uint32_t server : pool.placement->servers_to_ask(room))
+            report.asked.push_back(static_cast<std::int32_t>(server));
+    }
+    return report;
+}
+
+void ServicePools::loads_told(const storage_plane::ToldLoads& told) {
+    const std::size_t known = std::min(told.servers.size(), told.other_requests.size());
+    for (const auto& [service, pool] : pools_)
+        for (std::size_t i = 0; pool.placement && i < known; ++i)
+            pool.placement->others_told(static_cast<std::uint32_t>(told.servers[i]), told.other_requests[i],
+                                        told.age_ms, engine_.now());
+}
+
 placement::ProgramAdmission* ServicePools::admission_of(std::string_view service) {
     if (!options_.admission.on) return nullptr;
     const auto at = pools_.find(service);
--- a/src/data_plane/service_pools.hpp
+++ b/src/data_plane/service_pools.hpp
@@ -20,6 +20,7 @@
 #include "placement/placement.hpp"
 #include "placement/program_admission.hpp"
 #include "serving/configuration.hpp"
+#include "storage_plane/turn_types.hpp"
 
 namespace whinledge::data_plane {
 
@@ -65,6 +66,10 @@
     // `Server-Load` of an answer.
     void load_seen(std::string_view service, std::string_view server, std::string_view load);
 
+    // What this process has under way at model servers, and of which it asks what others have there.
+    wire::LoadReport load_report();
+    void loads_told(const storage_plane::ToldLoads& told);
+
     // Which openings came through here of late, of all services of model servers.
     openings::Traffic busiest_openings() const;
     // What came through all proxies, in place of what was told before; empty: nothing is known.
@@ -117,6 +122,7 @@
     std::unordered_map<std::string, Millis> started_;                 // by server, on the engine's clock
     std::unordered_map<RequestId, OpenSend> open_sends_;
     placement::SendId next_send_ = 1;
+    std::int64_t load_reports_ = 0;
     Sharers sharers_;
     openings::Traffic shared_openings_;
     std::set<std::string> replaced_;  // while the list still names them
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -79,6 +79,8 @@
     }
     servers_ = std::move(next);
     places_ = std::move(places);
+    by_key_.clear();
+    for (std::size_t i = 0; i < servers_.size(); ++i) by_key_.emplace(key_of(servers_[i]), i);
 }
 
 Placement::Server* Placement::find(std::string_view id) {
@@ -87,7 +89,7 @@
 }
 
 int Placement::slots_of(const Server& server) const {
-    if (server.load_at >= 0 && server.load.slots > 0) return server.load.slots;
+    if (server.told_slots > 0) return server.told_slots;
     return std::max(1, server.listed.slots > 0 ? server.listed.slots : settings_.slots);
 }
 
@@ -179,13 +181,43 @@
 void Placement::load_seen(std::string_view id, const Load& load, Millis now) {
     Server* const server = find(id);
     if (!server) return;
-    server->load = load;
-    server->load_at = now;
-    const int seen = load.running + load.waiting;
-    server->others = std::max(0, seen - server->out);
+    server->told_slots = load.slots;
+    note_others(*server, std::max(0, load.running + load.waiting - server->out), 1, now);
+}
+
+void Placement::note_others(Server& server, double others, double trust, Millis now) {
     const Millis memory = settings_.traffic_memory_ms;
-    others_.add(server->others, now, memory);
+    others_.add(others, now, memory);
     loads_.add(1, now, memory);
+    const double mean = mean_others(now);
+    server.others = mean + (others - mean) * trust;
+    server.load_at = now;
+}
+
+std::vector<Placement::OwnRequests> Placement::own_requests() const {
+    std::vector<OwnRequests> own;
+    for (const Server& server : servers_)
+        if (server.out > 0) own.push_back({key_of(server), server.out});
+    return own;
+}
+
+std::vector<std::uint32_t> Placement::servers_to_ask(std::size_t most) {
+    std::vector<std::uint32_t> near, far;
+    for (std::size_t i = 0; i < servers_.size(); ++i) {
+        const Server& server = servers_[(asked_last_ + i) % servers_.size()];
+        if (!server.listed.draining) (is_near(server) ? near : far).push_back(key_of(server));
+    }
+    ++asked_last_;
+    near.insert(near.end(), far.begin(), far.end());
+    if (near.size() > most) near.resize(most);
+    return near;
+}
+
+void Placement::others_told(std::uint32_t key, int requests, Millis age, Millis now) {
+    const auto at = by_key_.find(key);
+    if (at == by_key_.end()) return;
+    const double trust = std::exp(-std::max(0.0, age) / settings_.told_age_ms);
+    note_others(servers_[at->second], std::max(0, requests), trust, now);
 }
 
 // ---- What a request costs -------------------------------------------------------------------------------
@@ -301,10 +333,14 @@
     return std::max(kLeastHolders, static_cast<std::size_t>(filled));
 }
 
-double Placement::others_at(const Server& server, Millis now) const {
+double Placement::mean_others(Millis now) const {
     const Millis memory = settings_.traffic_memory_ms;
     const double loads = loads_.at_time(now, memory);
-    const double mean = loads > 0 ? others_.at_time(now, memory) / loads : 0;
+    return loads > 0 ? others_.at_time(now, memory) / loads : 0;
+}
+
+double Placement::others_at(const Server& server, Millis now) const {
+    const double mean = mean_others(now);
     if (server.load_at < 0) return mean;
     return mean + (server.others - mean) * faded(server.load_at, now, settings_.load_memory_ms);
 }
--- a/src/placement/placement.hpp
+++ b/src/placement/placement.hpp
@@ -66,6 +66,7 @@
     Millis silence_cost_ms = 400;
 
     Millis load_memory_ms = 2000;  // a load seen that long ago says little of now
+    Millis told_age_ms = 200;      // nor does what other processes told that long ago
     Millis traffic_memory_ms = 20000;
 };
 
@@ -143,6 +144,19 @@
     void ended(SendId send, bool ran, Millis now);
     void load_seen(std::string_view server, const Load& load, Millis now);
 
+    // What this process has under way, for others to know: of servers where that is anything.
+    struct OwnRequests {
+        std::uint32_t server = 0;  // key_of()
+        int requests = 0;
+    };
+    std::vector<OwnRequests> own_requests() const;
+    // Up to so many servers whose requests from other processes are to be asked for: those of the own zone
+    // first, all others in turns.
+    std::vector<std::uint32_t> servers_to_ask(std::size_t most);
+    // What other processes have under way at a server, as of so long ago; one not known has no effect. What
+    // is old says little: all processes would go together to whoever was idle then.
+    void others_told(std::uint32_t server, int requests, Millis age, Millis now);
+
     // Which shared beginnings are busiest of late, by what came through here, and how often requests came.
     std::vector<BusyStart> busiest(std::size_t most, Millis now) const { return starts_.busiest(most, now); }
     double request_rate(Millis now) const { return starts_.request_rate(now); }
@@ -169,9 +183,9 @@
         int out = 0;                  // our requests there
         std::int64_t tokens = 0;      // of them
         std::int64_t unread = 0;      // of their prompts, not known to be read
-        Load load;                    // as last seen
-        double others = 0;            // not ours, as of then
-        Millis load_at = -1;          // -1: none was seen
+        int told_slots = 0;           // by its load; 0: not told
+        double others = 0;            // requests that are not ours
+        Millis load_at = -1;          // of `others`; -1: nothing is known
         std::vector<Millis> unbegun;  // when each of our requests went out that has no first token yet
     };
     struct Send {
@@ -214,13 +228,19 @@
     const Server* home(const Ask& ask) const;
     void count(const Request& request, Millis now);
     Millis cold_left(const Server& server, Millis now) const;
+    static std::uint32_t key_of(const Server& server) { return static_cast<std::uint32_t>(server.hash); }
+    // `trust`: 1 where it is as of now, down to 0 where it says nothing of this server.
+    void note_others(Server& server, double others, double trust, Millis now);
+    double mean_others(Millis now) const;
     static void release(Server& server, const Send& send);
     static void note_begun(Server& server, Send& send);
     Millis longest_wait(Millis now) const;
 
     Settings settings_;
     std::vector<Server> servers_;
-    std::unordered_map<std::string, std::size_t> places_;  // in servers_, by id
+    std::unordered_map<std::string, std::size_t> places_;    // in servers_, by id
+    std::unordered_map<std::uint32_t, std::size_t> by_key_;  // in servers_
+    std::size_t asked_last_ = 0;                             // of servers_, where the next question begins
     std::unordered_map<SendId, Send> sends_;
     StartRates starts_;                               // of what came through here
     std::unordered_map<std::uint64_t, double> told_;  // shares, by id
--- a/src/storage_plane/turn_client.cpp
+++ b/src/storage_plane/turn_client.cpp
@@ -47,6 +47,8 @@
         : io_(io),
           client_(client),
           timer_(io),
+          load_(options.load),
+          loads_told_(options.loads_told),
           cache_(options.cache_bytes),
           quorum_(quorum_options(options), cache_) {}
 
@@ -108,12 +110,14 @@
     void call(TurnSend send) {
         const rpc::Client::Duration timeout(static_cast<std::int64_t>(std::ceil(send.timeout_ms)));
         std::visit(
-            [&](const auto& request) {
+            [&](auto& request) {
                 using Request = std::decay_t<decltype(request)>;
                 if constexpr (std::is_same_v<Request, wire::BeginTurnRequest>) {
+                    if (load_) request.__set_load(load_());
                     client_.call(send.address, kBeginTurn, request, timeout,
-                                 take<wire::BeginTurnReply>(send.id));
+                                 take_begun(send.id, request.load.asked));
                 } else if constexpr (std::is_same_v<Request, wire::EndTurnRequest>) {
+                    if (load_) request.__set_load(load_without_questions());
                     client_.call(send.address, kEndTurn, request, timeout, take<wire::EndTurnReply>(send.id));
                 } else {
                     client_.call(send.address, kReadTurns, request, timeout,
@@ -123,6 +127,23 @@
             send.request);
     }
 
+    wire::LoadReport load_without_questions() const {
+        wire::LoadReport load = load_();
+        load.asked.clear();
+        return load;
+    }
+
+    std::function<void(rpc::Result<wire::BeginTurnReply>)> take_begun(std::uint64_t send,
+                                                                      std::vector<std::int32_t> asked) {
+        return [this, weak = weak_from_this(), asked = std::move(asked), asked_ms = now_ms(),
+                next = take<wire::BeginTurnReply>(send)](rpc::Result<wire::BeginTurnReply> reply) {
+            if (const auto self = weak.lock(); self && reply && loads_told_)
+                loads_told_(
+                    {asked, reply.value().other_requests, reply.value().load_age_ms + now_ms() - asked_ms});
+            next(std::move(reply));
+        };
+    }
+
     template <class Reply>
     std::function<void(rpc::Result<Reply>)> take(std::uint64_t send) {
         return [weak = weak_from_this(), send](rpc::Result<Reply> reply) {
@@ -169,6 +190,8 @@
     boost::asio::io_context& io_;
     rpc::Client& client_;
     boost::asio::steady_timer timer_;
+    std::function<wire::LoadReport()> load_;
+    std::function<void(const ToldLoads&)> loads_told_;
     TurnCache cache_;
     TurnQuorum quorum_;
     double armed_ms_ = TurnQuorum::kNever;
--- a/src/storage_plane/turn_client.hpp
+++ b/src/storage_plane/turn_client.hpp
@@ -3,12 +3,15 @@
 #pragma once
 
 #include <boost/asio/io_context.hpp>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "control_types.h"  // generated from idl/*.thrift
 #include "rpc/client.hpp"
+#include "storage_types.h"
 #include "storage_plane/turn_types.hpp"
 
 namespace whinledge::storage_plane {
@@ -19,6 +22,9 @@
         std::string zone;                     // of this process
         int machine_losses = 1;               // copies are this many and one, in different zones
         std::size_t cache_bytes = 24U << 20;  // of recent turns
+        // What this process has under way at model servers, to be told with turns; empty: nothing is told.
+        std::function<wire::LoadReport()> load{};
+        std::function<void(const ToldLoads&)> loads_told{};
     };
     TurnClient(boost::asio::io_context& io, rpc::Client& client, Options options);
     ~TurnClient();
--- a/src/storage_plane/turn_types.hpp
+++ b/src/storage_plane/turn_types.hpp
@@ -41,4 +41,11 @@
     int keep_for_s = 0;
 };
 
+// What other proxies have under way at model servers, as a storage member has been told.
+struct ToldLoads {
+    std::vector<std::int32_t> servers;         // those asked for: LoadReport::asked
+    std::vector<std::int32_t> other_requests;  // at each of them; shorter where the member does not know
+    double age_ms = 0;                         // of what they told, in the mean, and of its way here and back
+};
+
 }  // namespace whinledge::storage_plane
--- a/tests/tier/storage_plane/turn_client_test.cpp
+++ b/tests/tier/storage_plane/turn_client_test.cpp
@@ -3,6 +3,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <chrono>
 
@@ -146,6 +147,57 @@
     EXPECT_EQ(result->status, BeginStatus::unavailable);
 }
 
+// What a proxy has under way goes along with its turns, and its question as well.
+TEST_F(TurnClientTest, LoadsAreToldAndAskedForWithTurns) {
+    std::vector<wire::LoadReport> begun, ended;
+    servers_[0]->on<wire::BeginTurnRequest, wire::BeginTurnReply>(
+        kBeginTurn, [&](const wire::BeginTurnRequest& request, auto respond) {
+            begun.push_back(request.load);
+            wire::BeginTurnReply reply = members_[0]->answer(request);
+            reply.__set_other_requests({4, 0});
+            reply.load_age_ms = 70;
+            respond(reply);
+        });
+    servers_[0]->on<wire::EndTurnRequest, wire::EndTurnReply>(
+        kEndTurn, [&](const wire::EndTurnRequest& request, auto respond) {
+            ended.push_back(request.load);
+            respond(members_[0]->answer(request));
+        });
+    std::vector<ToldLoads> told;
+    TurnClient::Options options{.zone = "a"};
+    std::int64_t reports = 0;
+    options.load = [&reports] {
+        wire::LoadReport report;
+        report.proxy = 5;
+        report.number = ++reports;
+        wire::ServerRequests at;
+        at.server = 11;
+        at.requests = 2;
+        report.under_way = {at};
+        report.asked = {11, 12};
+        return report;
+    };
+    options.loads_told = [&told](const ToldLoads& loads) { told.push_back(loads); };
+    TurnClient client(io_, calls_, options);
+    client.set_map(map_);
+    EXPECT_EQ(begin(client, start_of("t1", "")).status, BeginStatus::ok);
+    EXPECT_TRUE(end(client, end_of("t1", "")));
+    run_until([&] { return !begun.empty() && !ended.empty() && !told.empty(); });
+
+    EXPECT_EQ(begun[0].asked, (std::vector<std::int32_t>{11, 12}));
+    ASSERT_EQ(begun[0].under_way.size(), 1U);
+    EXPECT_EQ(begun[0].under_way[0].requests, 2);
+    EXPECT_TRUE(ended[0].asked.empty()) << "nothing is asked as a turn ends";
+    EXPECT_EQ(ended[0].under_way.size(), 1U);
+    EXPECT_GT(ended[0].number, begun[0].number);
+    const auto answered = std::find_if(told.begin(), told.end(),
+                                       [](const ToldLoads& loads) { return !loads.other_requests.empty(); });
+    ASSERT_NE(answered, told.end());
+    EXPECT_EQ(answered->servers, (std::vector<std::int32_t>{11, 12}));
+    EXPECT_EQ(answered->other_requests, (std::vector<std::int32_t>{4, 0}));
+    EXPECT_GE(answered->age_ms, 70) << "its way is part of its age";
+}
+
 // Calls that are out when the client goes are harmless.
 TEST_F(TurnClientTest, ClientThatGoesWithCallsOut) {
     {
