More servers hold a shared start: three times what its part of the traffic fills

Cause: with 1.5 times, the few holders that each start has by its hash overlap unevenly, and some servers are full while their neighbours idle. Change: placement::Settings::spread 3.

--- a/src/placement/placement.hpp
+++ b/src/placement/placement.hpp
@@ -43,7 +43,7 @@
     double copy_price = 0.5;
     // Each shared start has so many times the servers that its part of the traffic would fill, two at least,
     // in each zone that asks.
-    double spread = 1.5;
+    double spread = 3;
     // What a server is preferred by that every process of a zone alike takes for the home of a program, while
     // no server is known to keep what the line has.
     Millis home_ms = 60;
