--- a/tools/lab/experiment.hpp
+++ b/tools/lab/experiment.hpp
@@ -22,6 +22,9 @@
     Millis near_delay_ms = 0.2;                            // one way, within a zone
     Millis client_delay_ms = 1;                            // one way, client to proxy
     Millis store_begin_ms = 5, store_end_ms = 5;  // what a turn's records take ahead of it and behind it
+    int storage_members = 1;                      // that sum up what proxies have under way
+    double load_report_loss = 0;                  // share of such reports, and of their replies
+    Millis load_report_delay_ms = 0;              // more than a turn's call takes, of such reports
     Millis list_delay_ms = 1500;                  // until proxies know of a change of servers
     Millis connection_ms = 1;                     // at a server, for a new connection
     Millis idle_connection_ms = 10000;            // an idle one is closed after this
@@ -97,6 +100,7 @@
     bool told_load = true;         // `Server-Load`
     bool urgency = true;           // `Priority`
     bool zones = true;             // the own zone is preferred
+    bool shared_loads = false;     // proxies tell with their turns what they have under way (simulated alone)
     bool shared_openings = false;  // proxies are told which openings are busiest in all (simulated alone)
 };
 
--- a/tools/lab/proxy.cpp
+++ b/tools/lab/proxy.cpp
@@ -13,6 +13,7 @@
 using Kind = ServerWord::Kind;
 
 constexpr Millis kRetryIn = 200;           // told with a refusal that has no better advice, as by the program
+constexpr double kLoadShare = 0.9;         // of a turn's beginning: what others have is told ahead of its end
 constexpr std::uint64_t kProxyDraws = 12;  // names the draws of the random choice
 
 }  // namespace
@@ -36,6 +37,7 @@
 
     void served(std::unique_ptr<Answer>) noexcept override {
         if (!request.is_turn) return end(ClientWord::done, 0);
+        proxy_.tell_load(proxy_.experiment_.deployment.store_end_ms, false);
         // The end of a turn's stream waits until its record is safe.
         proxy_.simulation_.in(proxy_.experiment_.deployment.store_end_ms,
                               [self = proxy_.weak_from_this(), id = request.id] {
@@ -156,6 +158,7 @@
     const auto exchange = std::make_shared<Exchange>(*this, request);
     exchanges_[request.id] = exchange;
     if (!request.is_turn) return dispatch(exchange);
+    tell_load(kLoadShare * experiment_.deployment.store_begin_ms, true);
     simulation_.in(experiment_.deployment.store_begin_ms, [self = weak_from_this(), id = request.id] {
         const auto proxy = self.lock();
         if (!proxy) return;
@@ -164,6 +167,18 @@
     });
 }
 
+void Proxy::tell_load(Millis takes, bool asks) {
+    if (!where_.load_members) return;
+    wire::LoadReport report = pools_->load_report();
+    if (!asks) report.asked.clear();
+    LoadMembers::Told told;
+    if (asks)
+        told = [self = weak_from_this()](const storage_plane::ToldLoads& loads) {
+            if (const auto proxy = self.lock()) proxy->pools_->loads_told(loads);
+        };
+    where_.load_members->call(report, takes, std::move(told));
+}
+
 void Proxy::dispatch(const std::shared_ptr<Exchange>& given) {
     const auto exchange = given;  // its entry may go while it is taken
     const Effect effect = exchange->request.repeatable ? Effect::repeatable : Effect::once;
--- a/tools/lab/proxy.hpp
+++ b/tools/lab/proxy.hpp
@@ -14,6 +14,7 @@
 #include "engine/engine.hpp"
 #include "lab/cloud.hpp"
 #include "lab/front.hpp"
+#include "lab/load_members.hpp"
 
 namespace whinledge::lab {
 
@@ -25,6 +26,7 @@
     struct Where {
         std::size_t number = 0, zone = 0;
         std::uint64_t seed = 0;
+        LoadMembers* load_members = nullptr;  // null: loads are not shared
     };
     static std::shared_ptr<Proxy> make(const Experiment& experiment, const Arm& arm, Where where,
                                        Simulation& simulation, Cloud& cloud, ClientSink& clients,
@@ -62,6 +64,7 @@
     Proxy(const Experiment& experiment, const Arm& arm, Where where, Simulation& simulation, Cloud& cloud,
           ClientSink& clients, Measures& measures);
     serving::Configuration configuration() const;
+    void tell_load(Millis takes, bool asks);
     void dispatch(const std::shared_ptr<Exchange>& exchange);
     std::vector<std::string> candidates(const Exchange& exchange);
     int priority(const ClientRequest& request);
--- a/tools/lab/read_experiment.cpp
+++ b/tools/lab/read_experiment.cpp
@@ -95,6 +95,9 @@
     table.number("near_delay_ms", deployment.near_delay_ms, kMillis);
     table.number("client_delay_ms", deployment.client_delay_ms, kMillis);
     table.number("store_begin_ms", deployment.store_begin_ms, kMillis);
+    table.count("storage_members", deployment.storage_members, kMachines);
+    table.number("load_report_loss", deployment.load_report_loss, kShare);
+    table.number("load_report_delay_ms", deployment.load_report_delay_ms, kMillis);
     table.number("store_end_ms", deployment.store_end_ms, kMillis);
     table.number("list_delay_ms", deployment.list_delay_ms, kMillis);
     table.number("connection_ms", deployment.connection_ms, kMillis);
@@ -222,6 +225,7 @@
         table.read("told_load", arm.told_load);
         table.read("urgency", arm.urgency);
         table.read("zones", arm.zones);
+        table.read("shared_loads", arm.shared_loads);
         table.read("shared_openings", arm.shared_openings);
         table.done();
         experiment.arms.push_back(std::move(arm));
--- a/tools/lab/trial.cpp
+++ b/tools/lab/trial.cpp
@@ -30,7 +30,8 @@
           simulation_(kStart),
           plans_(plan_programs(experiment, seed)),
           cloud_(experiment, simulation_, measures_, seed),
-          agents_(experiment, simulation_, measures_, seed) {}
+          agents_(experiment, simulation_, measures_, seed),
+          load_members_(experiment.deployment, simulation_, seed) {}
 
     Measures run() {
         for (int i = 0; i < experiment_.deployment.proxies; ++i)
@@ -54,6 +55,7 @@
         Proxy::Where where;
         where.number = number;
         where.zone = number % experiment_.deployment.zones.size();
+        if (arm_.shared_loads) where.load_members = &load_members_;
         where.seed = Random({seed_, kProxyDraws, number, start}).next();
         auto proxy = Proxy::make(experiment_, arm_, where, simulation_, cloud_, agents_, measures_);
         proxy->set_servers();
@@ -143,6 +145,7 @@
     std::vector<ProgramPlan> plans_;
     Cloud cloud_;
     Agents agents_;
+    LoadMembers load_members_;
     std::vector<std::shared_ptr<Proxy>> proxies_;
     std::vector<std::shared_ptr<Front>> fronts_;  // the same
     std::uint64_t restarts_ = 0;
