--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -22,12 +22,6 @@
 
 }  // namespace
 
-double Placement::Tally::at_time(Millis now, Millis memory) const { return value * faded(at, now, memory); }
-void Placement::Tally::add(double amount, Millis now, Millis memory) {
-    value = at_time(now, memory) + amount;
-    at = now;
-}
-
 bool parse_load(std::string_view text, Load& load) {
     Load read;
     for (int* const figure : {&read.running, &read.waiting, &read.slots}) {
--- a/src/placement/placement.hpp
+++ b/src/placement/placement.hpp
@@ -15,6 +15,7 @@
 #include <utility>
 #include <vector>
 
+#include "placement/fading_sum.hpp"
 #include "placement/kept_parts.hpp"
 #include "placement/prompt.hpp"
 #include "placement/start_rates.hpp"
@@ -195,13 +196,6 @@
         Millis at = 0;
         bool begun = false;
     };
-    // A sum that fades.
-    struct Tally {
-        double value = 0;
-        Millis at = 0;
-        double at_time(Millis now, Millis memory) const;
-        void add(double amount, Millis now, Millis memory);
-    };
     struct Ask;  // what is the same for all servers
 
     Server* find(std::string_view id);
@@ -244,9 +238,9 @@
     std::unordered_map<SendId, Send> sends_;
     StartRates starts_;                               // of what came through here
     std::unordered_map<std::uint64_t, double> told_;  // shares, by id
-    Tally others_, loads_;                            // of servers, as of the loads seen, and how many
-    Tally lasted_, lasts_, tokens_;                   // of what has ended: time, number, tokens
-    Tally waited_, waits_;                            // for first tokens: time, number
+    FadingSum others_, loads_;                        // of servers, as of the loads seen, and how many
+    FadingSum lasted_, lasts_, tokens_;               // of what has ended: time, number, tokens
+    FadingSum waited_, waits_;                        // for first tokens: time, number
 };
 
 }  // namespace whinledge::placement
--- a/src/placement/program_admission.cpp
+++ b/src/placement/program_admission.cpp
@@ -5,14 +5,6 @@
 
 namespace whinledge::placement {
 
-double ProgramAdmission::Tally::at_time(Millis now, Millis memory) const {
-    return value * std::exp((at - now) / memory);
-}
-void ProgramAdmission::Tally::add(double amount, Millis now, Millis memory) {
-    value = at_time(now, memory) + amount;
-    at = now;
-}
-
 bool ProgramAdmission::admit(const ProgramTurn& turn, Millis now) {
     if (!settings_.on || turn.program == 0) return true;
     look(now);
--- a/src/placement/program_admission.hpp
+++ b/src/placement/program_admission.hpp
@@ -22,6 +22,8 @@
 #include <set>
 #include <unordered_map>
 
+#include "placement/fading_sum.hpp"
+
 namespace whinledge::placement {
 
 struct AdmissionSettings {
@@ -105,13 +107,6 @@
     std::size_t under_way() const { return programs_.size(); }
 
 private:
-    // A sum that fades.
-    struct Tally {
-        double value = 0;
-        Millis at = 0;
-        double at_time(Millis now, Millis memory) const;
-        void add(double amount, Millis now, Millis memory);
-    };
     bool may_go(int rank, Millis now);
     void look(Millis now);
     void forget_those_over(Millis now);
@@ -130,10 +125,10 @@
     };
     std::unordered_map<std::uint64_t, Program> programs_;  // under way, or put off
     std::multiset<AwaitedEvent> awaited_;
-    Tally first_events_, late_;
+    FadingSum first_events_, late_;
     Millis looked_at_ = 0;
     double late_before_ = 0;   // as of the look before
-    Tally begins_;             // programs that would begin
+    FadingSum begins_;         // programs that would begin
     double usual_ = -1;        // programs in the memory of begins_; -1: not known
     Millis surge_since_ = -1;  // and too many are late; -1: not so
     bool overloaded_ = false;
