--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -73,8 +73,18 @@
     }
     servers_ = std::move(next);
     places_ = std::move(places);
+    index_keys();
+}
+
+void Placement::index_keys() {
     by_key_.clear();
-    for (std::size_t i = 0; i < servers_.size(); ++i) by_key_.emplace(key_of(servers_[i]), i);
+    near_keys_.clear();
+    far_keys_.clear();
+    for (std::size_t i = 0; i < servers_.size(); ++i) {
+        const std::uint32_t key = key_of(servers_[i]);
+        by_key_.emplace(key, i);
+        if (!servers_[i].listed.draining) (is_near(servers_[i]) ? near_keys_ : far_keys_).push_back(key);
+    }
 }
 
 Placement::Server* Placement::find(std::string_view id) {
@@ -98,12 +108,17 @@
     if (!server) return;
     const Ask asked = ask(request, now);
     // What others share is held once.
-    Send send{std::string(server_id), asked.prompt - asked.shared + request.tokens.most_out, 0, {}, now};
+    Send send;
+    send.server = server_id;
+    send.tokens = asked.prompt - asked.shared + request.tokens.most_out;
+    send.at = now;
     send.unread = std::max<std::int64_t>(0, asked.prompt - server->kept.kept(asked.parts));
     for (const PromptPart& part : asked.parts)
         if (!server->kept.holds(part.id)) send.fresh.push_back(part.id);
+    send.server_key = key_of(*server);
     if (!sends_.try_emplace(id, send).second) return;
     ++server->out;
+    ++own_[key_of(*server)];
     server->unbegun.push_back(now);
     server->tokens += send.tokens;
     server->unread += send.unread;
@@ -153,6 +168,7 @@
     if (at == sends_.end()) return;
     Send send = std::move(at->second);
     sends_.erase(at);
+    if (const auto own = own_.find(send.server_key); own != own_.end() && --own->second <= 0) own_.erase(own);
     if (ran) {
         lasted_.add(now - send.at, now, settings_.traffic_memory_ms);
         lasts_.add(1, now, settings_.traffic_memory_ms);
@@ -190,21 +206,19 @@
 
 std::vector<Placement::OwnRequests> Placement::own_requests() const {
     std::vector<OwnRequests> own;
-    for (const Server& server : servers_)
-        if (server.out > 0) own.push_back({key_of(server), server.out});
+    own.reserve(own_.size());
+    for (const auto& [server, requests] : own_) own.push_back({server, requests});
     return own;
 }
 
 std::vector<std::uint32_t> Placement::servers_to_ask(std::size_t most) {
-    std::vector<std::uint32_t> near, far;
-    for (std::size_t i = 0; i < servers_.size(); ++i) {
-        const Server& server = servers_[(asked_last_ + i) % servers_.size()];
-        if (!server.listed.draining) (is_near(server) ? near : far).push_back(key_of(server));
-    }
-    ++asked_last_;
-    near.insert(near.end(), far.begin(), far.end());
-    if (near.size() > most) near.resize(most);
-    return near;
+    std::vector<std::uint32_t> asked;
+    asked.reserve(std::min(most, near_keys_.size() + far_keys_.size()));
+    for (const std::vector<std::uint32_t>* const keys : {&near_keys_, &far_keys_})
+        for (std::size_t i = 0; i < keys->size() && asked.size() < most; ++i)
+            asked.push_back((*keys)[(asked_from_ + i) % keys->size()]);
+    asked_from_ += std::max<std::size_t>(1, asked.size());
+    return asked;
 }
 
 void Placement::others_told(std::uint32_t key, int requests, Millis age, Millis now) {
--- a/src/placement/placement.hpp
+++ b/src/placement/placement.hpp
@@ -191,6 +191,7 @@
     };
     struct Send {
         std::string server;
+        std::uint32_t server_key = 0;
         std::int64_t tokens = 0, unread = 0;
         std::vector<std::uint64_t> fresh;  // parts not known to be kept before
         Millis at = 0;
@@ -199,6 +200,7 @@
     struct Ask;  // what is the same for all servers
 
     Server* find(std::string_view id);
+    void index_keys();
     int slots_of(const Server& server) const;
     double others_at(const Server& server, Millis now) const;
     Estimate estimate(const Server& server, const Ask& ask, Millis now) const;
@@ -234,8 +236,10 @@
     std::vector<Server> servers_;
     std::unordered_map<std::string, std::size_t> places_;    // in servers_, by id
     std::unordered_map<std::uint32_t, std::size_t> by_key_;  // in servers_
-    std::size_t asked_last_ = 0;                             // of servers_, where the next question begins
+    std::vector<std::uint32_t> near_keys_, far_keys_;        // of those that take something new, by zone
+    std::size_t asked_from_ = 0;                             // of either, modulo their numbers
     std::unordered_map<SendId, Send> sends_;
+    std::unordered_map<std::uint32_t, int> own_;      // requests that are out, by server
     StartRates starts_;                               // of what came through here
     std::unordered_map<std::uint64_t, double> told_;  // shares, by id
     FadingSum others_, loads_;                        // of servers, as of the loads seen, and how many
--- a/tests/tier/placement/told_loads_test.cpp
+++ b/tests/tier/placement/told_loads_test.cpp
@@ -118,6 +118,16 @@
     EXPECT_EQ(own[0].requests, 2);
 }
 
+TEST(ToldLoads, OwnRequestsAtAServerThatIsGoneEndWithThem) {
+    World world;
+    world.placement.sent(1, "n1", World::request(), kNow);
+    world.placement.set_servers(servers(0, 2), kNow);
+    EXPECT_EQ(world.placement.own_requests().size(), 1U);
+    world.placement.ended(1, true, kNow + 5);
+    world.placement.ended(1, true, kNow + 6);
+    EXPECT_TRUE(world.placement.own_requests().empty());
+}
+
 TEST(ToldLoads, ServersOfTheOwnZoneAreAskedForFirst) {
     World world(3, 5);
     const Keys asked = world.placement.servers_to_ask(3);
