Servers are asked for in turns, whatever their number, and only as turns begin

Cause: one cursor for both zones' keys stepped by all that was asked for: of 40 servers of other zones and 8 questions some were never asked for; reports that ask nothing moved it as well. Change: a cursor for each, moved by what is taken; a report is told whether it asks.

--- a/src/data_plane/proxy.cpp
+++ b/src/data_plane/proxy.cpp
@@ -160,7 +160,7 @@
     options.zone = settings_.zone;
     options.machine_losses = settings_.tolerated_losses();
     if (!settings_.share_loads) return options;
-    options.load = [this] { return pools_.load_report(); };
+    options.load = [this](bool asks) { return pools_.load_report(asks); };
     options.loads_told = [this](const storage_plane::ToldLoads& told) { pools_.loads_told(told); };
     return options;
 }
--- a/src/data_plane/service_pools.cpp
+++ b/src/data_plane/service_pools.cpp
@@ -276,7 +276,7 @@
     if (placement && placement::parse_load(text, load)) placement->load_seen(server, load, engine_.now());
 }
 
-wire::LoadReport ServicePools::load_report() {
+wire::LoadReport ServicePools::load_report(bool asks) {
     wire::LoadReport report;
     report.proxy = static_cast<std::int64_t>(options_.seed);
     report.number = ++load_reports_;
@@ -288,6 +288,7 @@
             at.requests = own.requests;
             report.under_way.push_back(at);
         }
+        if (!asks) continue;
         const std::size_t room = kMostServersAsked - std::min(report.asked.size(), kMostServersAsked);
         for (const std::uint32_t server : pool.placement->servers_to_ask(room))
             report.asked.push_back(static_cast<std::int32_t>(server));
--- a/src/data_plane/service_pools.hpp
+++ b/src/data_plane/service_pools.hpp
@@ -66,8 +66,9 @@
     // `Server-Load` of an answer.
     void load_seen(std::string_view service, std::string_view server, std::string_view load);
 
-    // What this process has under way at model servers, and of which it asks what others have there.
-    wire::LoadReport load_report();
+    // What this process has under way at model servers, and, where it `asks`, at which of them it wants to
+    // know what others have.
+    wire::LoadReport load_report(bool asks);
     void loads_told(const storage_plane::ToldLoads& told);
 
     // Which openings came through here of late, of all services of model servers.
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -78,12 +78,12 @@
 
 void Placement::index_keys() {
     by_key_.clear();
-    near_keys_.clear();
-    far_keys_.clear();
+    near_keys_.keys.clear();
+    far_keys_.keys.clear();
     for (std::size_t i = 0; i < servers_.size(); ++i) {
         const std::uint32_t key = key_of(servers_[i]);
         by_key_.emplace(key, i);
-        if (!servers_[i].listed.draining) (is_near(servers_[i]) ? near_keys_ : far_keys_).push_back(key);
+        if (!servers_[i].listed.draining) (is_near(servers_[i]) ? near_keys_ : far_keys_).keys.push_back(key);
     }
 }
 
@@ -213,14 +213,19 @@
 
 std::vector<std::uint32_t> Placement::servers_to_ask(std::size_t most) {
     std::vector<std::uint32_t> asked;
-    asked.reserve(std::min(most, near_keys_.size() + far_keys_.size()));
-    for (const std::vector<std::uint32_t>* const keys : {&near_keys_, &far_keys_})
-        for (std::size_t i = 0; i < keys->size() && asked.size() < most; ++i)
-            asked.push_back((*keys)[(asked_from_ + i) % keys->size()]);
-    asked_from_ += std::max<std::size_t>(1, asked.size());
+    asked.reserve(std::min(most, near_keys_.keys.size() + far_keys_.keys.size()));
+    for (KeysInTurn* const zone : {&near_keys_, &far_keys_}) {
+        const std::size_t wanted = std::min(most - asked.size(), zone->keys.size());
+        for (std::size_t i = 0; i < wanted; ++i) asked.push_back(zone->take());
+    }
     return asked;
 }
 
+std::uint32_t Placement::KeysInTurn::take() {
+    next = next < keys.size() ? next : 0;
+    return keys[next++];
+}
+
 void Placement::others_told(std::uint32_t key, int requests, Millis age, Millis now) {
     const auto at = by_key_.find(key);
     if (at == by_key_.end()) return;
--- a/src/placement/placement.hpp
+++ b/src/placement/placement.hpp
@@ -197,6 +197,11 @@
         Millis at = 0;
         bool begun = false;
     };
+    struct KeysInTurn {
+        std::vector<std::uint32_t> keys;
+        std::size_t next = 0;
+        std::uint32_t take();  // of some keys
+    };
     struct Ask;  // what is the same for all servers
 
     Server* find(std::string_view id);
@@ -236,8 +241,7 @@
     std::vector<Server> servers_;
     std::unordered_map<std::string, std::size_t> places_;    // in servers_, by id
     std::unordered_map<std::uint32_t, std::size_t> by_key_;  // in servers_
-    std::vector<std::uint32_t> near_keys_, far_keys_;        // of those that take something new, by zone
-    std::size_t asked_from_ = 0;                             // of either, modulo their numbers
+    KeysInTurn near_keys_, far_keys_;                        // of those that take something new, by zone
     std::unordered_map<SendId, Send> sends_;
     std::unordered_map<std::uint32_t, int> own_;      // requests that are out, by server
     StartRates starts_;                               // of what came through here
--- a/src/storage_plane/turn_client.cpp
+++ b/src/storage_plane/turn_client.cpp
@@ -113,11 +113,11 @@
             [&](auto& request) {
                 using Request = std::decay_t<decltype(request)>;
                 if constexpr (std::is_same_v<Request, wire::BeginTurnRequest>) {
-                    if (load_) request.__set_load(load_());
+                    if (load_) request.__set_load(load_(true));
                     client_.call(send.address, kBeginTurn, request, timeout,
                                  take_begun(send.id, request.load.asked));
                 } else if constexpr (std::is_same_v<Request, wire::EndTurnRequest>) {
-                    if (load_) request.__set_load(load_without_questions());
+                    if (load_) request.__set_load(load_(false));
                     client_.call(send.address, kEndTurn, request, timeout, take<wire::EndTurnReply>(send.id));
                 } else {
                     client_.call(send.address, kReadTurns, request, timeout,
@@ -127,12 +127,6 @@
             send.request);
     }
 
-    wire::LoadReport load_without_questions() const {
-        wire::LoadReport load = load_();
-        load.asked.clear();
-        return load;
-    }
-
     std::function<void(rpc::Result<wire::BeginTurnReply>)> take_begun(std::uint64_t send,
                                                                       std::vector<std::int32_t> asked) {
         return [this, weak = weak_from_this(), asked = std::move(asked), asked_ms = now_ms(),
@@ -190,7 +184,7 @@
     boost::asio::io_context& io_;
     rpc::Client& client_;
     boost::asio::steady_timer timer_;
-    std::function<wire::LoadReport()> load_;
+    std::function<wire::LoadReport(bool)> load_;
     std::function<void(const ToldLoads&)> loads_told_;
     TurnCache cache_;
     TurnQuorum quorum_;
--- a/src/storage_plane/turn_client.hpp
+++ b/src/storage_plane/turn_client.hpp
@@ -22,8 +22,9 @@
         std::string zone;                     // of this process
         int machine_losses = 1;               // copies are this many and one, in different zones
         std::size_t cache_bytes = 24U << 20;  // of recent turns
-        // What this process has under way at model servers, to be told with turns; empty: nothing is told.
-        std::function<wire::LoadReport()> load{};
+        // What this process has under way at model servers, to be told with turns, and, where it `asks`, of
+        // which servers it wants to know what others have; empty: nothing is told.
+        std::function<wire::LoadReport(bool asks)> load{};
         std::function<void(const ToldLoads&)> loads_told{};
     };
     TurnClient(boost::asio::io_context& io, rpc::Client& client, Options options);
--- a/tests/tier/storage_plane/turn_client_test.cpp
+++ b/tests/tier/storage_plane/turn_client_test.cpp
@@ -166,7 +166,7 @@
     std::vector<ToldLoads> told;
     TurnClient::Options options{.zone = "a"};
     std::int64_t reports = 0;
-    options.load = [&reports] {
+    options.load = [&reports](bool asks) {
         wire::LoadReport report;
         report.proxy = 5;
         report.number = ++reports;
@@ -174,7 +174,7 @@
         at.server = 11;
         at.requests = 2;
         report.under_way = {at};
-        report.asked = {11, 12};
+        if (asks) report.asked = {11, 12};
         return report;
     };
     options.loads_told = [&told](const ToldLoads& loads) { told.push_back(loads); };
--- a/tools/lab/proxy.cpp
+++ b/tools/lab/proxy.cpp
@@ -169,8 +169,7 @@
 
 void Proxy::tell_load(Millis takes, bool asks) {
     if (!where_.load_members) return;
-    wire::LoadReport report = pools_->load_report();
-    if (!asks) report.asked.clear();
+    const wire::LoadReport report = pools_->load_report(asks);
     LoadMembers::Told told;
     if (asks)
         told = [self = weak_from_this()](const storage_plane::ToldLoads& loads) {
