--- a/src/data_plane/service_pools.cpp
+++ b/src/data_plane/service_pools.cpp
@@ -282,7 +282,7 @@
     report.number = ++load_reports_;
     for (const auto& [service, pool] : pools_) {
         if (!pool.placement) continue;
-        for (const placement::Placement::OwnRequests& own : pool.placement->own_requests()) {
+        for (const placement::Placement::ServerRequests& own : pool.placement->own_requests()) {
             wire::ServerRequests at;
             at.server = static_cast<std::int32_t>(own.server);
             at.requests = own.requests;
@@ -298,10 +298,11 @@
 
 void ServicePools::loads_told(const storage_plane::ToldLoads& told) {
     const std::size_t known = std::min(told.servers.size(), told.other_requests.size());
+    std::vector<placement::Placement::ServerRequests> at_servers(known);
+    for (std::size_t i = 0; i < known; ++i)
+        at_servers[i] = {static_cast<std::uint32_t>(told.servers[i]), told.other_requests[i]};
     for (const auto& [service, pool] : pools_)
-        for (std::size_t i = 0; pool.placement && i < known; ++i)
-            pool.placement->others_told(static_cast<std::uint32_t>(told.servers[i]), told.other_requests[i],
-                                        told.age_ms, engine_.now());
+        if (pool.placement) pool.placement->others_told(at_servers, told.age_ms, engine_.now());
 }
 
 placement::ProgramAdmission* ServicePools::admission_of(std::string_view service) {
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -49,6 +49,7 @@
     const Server* home = nullptr;   // the program's, while no server keeps what the line has
     Millis home_ms = 0;             // what it is preferred by
     Millis longest_wait = 0;        // for a first token, of a server that does not hang
+    double mean_others = 0;         // requests of other processes at a server
 };
 
 Placement::Placement(Settings settings)
@@ -192,20 +193,14 @@
     Server* const server = find(id);
     if (!server) return;
     server->told_slots = load.slots;
-    note_others(*server, std::max(0, load.running + load.waiting - server->out), 1, now);
+    server->others = std::max(0, load.running + load.waiting - server->out);
+    server->load_at = now;
+    others_.add(server->others, now, settings_.traffic_memory_ms);
+    loads_.add(1, now, settings_.traffic_memory_ms);
 }
 
-void Placement::note_others(Server& server, double others, double trust, Millis now) {
-    const Millis memory = settings_.traffic_memory_ms;
-    others_.add(others, now, memory);
-    loads_.add(1, now, memory);
-    const double mean = mean_others(now);
-    server.others = mean + (others - mean) * trust;
-    server.load_at = now;
-}
-
-std::vector<Placement::OwnRequests> Placement::own_requests() const {
-    std::vector<OwnRequests> own;
+std::vector<Placement::ServerRequests> Placement::own_requests() const {
+    std::vector<ServerRequests> own;
     own.reserve(own_.size());
     for (const auto& [server, requests] : own_) own.push_back({server, requests});
     return own;
@@ -226,11 +221,25 @@
     return keys[next++];
 }
 
-void Placement::others_told(std::uint32_t key, int requests, Millis age, Millis now) {
-    const auto at = by_key_.find(key);
-    if (at == by_key_.end()) return;
+void Placement::others_told(const std::vector<ServerRequests>& at_servers, Millis age, Millis now) {
+    double sum = 0, count = 0;
+    for (const ServerRequests& told : at_servers) {
+        if (!by_key_.contains(told.server)) continue;
+        sum += std::max(0, told.requests);
+        ++count;
+    }
+    if (count == 0) return;
+    others_.add(sum, now, settings_.traffic_memory_ms);
+    loads_.add(count, now, settings_.traffic_memory_ms);
+    const double mean = mean_others(now);
     const double trust = std::exp(-std::max(0.0, age) / settings_.told_age_ms);
-    note_others(servers_[at->second], std::max(0, requests), trust, now);
+    for (const ServerRequests& told : at_servers) {
+        const auto at = by_key_.find(told.server);
+        if (at == by_key_.end()) continue;
+        Server& server = servers_[at->second];
+        server.others = mean + (std::max(0, told.requests) - mean) * trust;
+        server.load_at = now;
+    }
 }
 
 // ---- What a request costs -------------------------------------------------------------------------------
@@ -259,6 +268,7 @@
         ask.last_holder = last_holder(ask.start, takers.hashes, now);
     }
     ask.longest_wait = longest_wait(now);
+    ask.mean_others = mean_others(now);
     ask.kept = is_kept(ask);
     if (!ask.kept) ask.home = home(ask);
     if (ask.home) ask.home_ms = settings_.home_ms;
@@ -352,14 +362,14 @@
     return loads > 0 ? others_.at_time(now, memory) / loads : 0;
 }
 
-double Placement::others_at(const Server& server, Millis now) const {
-    const double mean = mean_others(now);
+double Placement::others_at(const Server& server, double mean, Millis now) const {
     if (server.load_at < 0) return mean;
     return mean + (server.others - mean) * faded(server.load_at, now, settings_.load_memory_ms);
 }
 
 Estimate Placement::estimate(const Server& server, const Ask& ask, Millis now) const {
-    const double others = others_at(server, now), busy = others + server.out, slots = slots_of(server);
+    const double others = others_at(server, ask.mean_others, now), busy = others + server.out,
+                 slots = slots_of(server);
     const std::int64_t kept = server.kept.kept(ask.parts);
     const auto out = static_cast<double>(ask.request.tokens.most_out);
     Estimate e;
--- a/src/placement/placement.hpp
+++ b/src/placement/placement.hpp
@@ -145,18 +145,18 @@
     void ended(SendId send, bool ran, Millis now);
     void load_seen(std::string_view server, const Load& load, Millis now);
 
-    // What this process has under way, for others to know: of servers where that is anything.
-    struct OwnRequests {
+    struct ServerRequests {
         std::uint32_t server = 0;  // key_of()
         int requests = 0;
     };
-    std::vector<OwnRequests> own_requests() const;
+    // What this process has under way, for others to know: of servers where that is anything.
+    std::vector<ServerRequests> own_requests() const;
     // Up to so many servers whose requests from other processes are to be asked for: those of the own zone
     // first, all others in turns.
     std::vector<std::uint32_t> servers_to_ask(std::size_t most);
-    // What other processes have under way at a server, as of so long ago; one not known has no effect. What
+    // What other processes have under way at servers, as of so long ago; those not known have no effect. What
     // is old says little: all processes would go together to whoever was idle then.
-    void others_told(std::uint32_t server, int requests, Millis age, Millis now);
+    void others_told(const std::vector<ServerRequests>& at_servers, Millis age, Millis now);
 
     // Which shared beginnings are busiest of late, by what came through here, and how often requests came.
     std::vector<BusyStart> busiest(std::size_t most, Millis now) const { return starts_.busiest(most, now); }
@@ -207,7 +207,7 @@
     Server* find(std::string_view id);
     void index_keys();
     int slots_of(const Server& server) const;
-    double others_at(const Server& server, Millis now) const;
+    double others_at(const Server& server, double mean, Millis now) const;
     Estimate estimate(const Server& server, const Ask& ask, Millis now) const;
     Millis queue_ms(const Server& server, double busy) const;
     Millis memory_ms(const Server& server, const Ask& ask, double others) const;
@@ -230,8 +230,6 @@
     void count(const Request& request, Millis now);
     Millis cold_left(const Server& server, Millis now) const;
     static std::uint32_t key_of(const Server& server) { return static_cast<std::uint32_t>(server.hash); }
-    // `trust`: 1 where it is as of now, down to 0 where it says nothing of this server.
-    void note_others(Server& server, double others, double trust, Millis now);
     double mean_others(Millis now) const;
     static void release(Server& server, const Send& send);
     static void note_begun(Server& server, Send& send);
--- a/src/storage_plane/storage_node.hpp
+++ b/src/storage_plane/storage_node.hpp
@@ -19,6 +19,7 @@
 #include "storage_plane/repair_pace.hpp"
 #include "storage_plane/segment_log.hpp"
 #include "storage_plane/shared_digest.hpp"
+#include "storage_plane/shared_loads.hpp"
 #include "storage_plane/snapshot_writer.hpp"
 #include "storage_plane/turn_store.hpp"
 #include "storage_types.h"
@@ -162,6 +163,7 @@
     bool is_stale(std::int64_t map_epoch) const;
     template <class Reply>
     void refuse_as_stale(Reply& reply);
+    void tell_loads(const wire::BeginTurnRequest& request, wire::BeginTurnReply& reply);
     wire::StorageStatus::type admit(std::int64_t map_epoch, std::int64_t identity);
     std::int64_t epoch() const;
     void note_filled(bool filled);
@@ -202,6 +204,7 @@
     Counters counts_;
     SnapshotWriter snapshots_;
     RepairPace repair_pace_;
+    SharedLoads loads_;
     Started started_;
     bool must_restart_ = false;
 };
--- a/src/storage_plane/storage_node_turns.cpp
+++ b/src/storage_plane/storage_node_turns.cpp
@@ -34,6 +34,7 @@
 void StorageNode::begin(const wire::BeginTurnRequest& request, Done<wire::BeginTurnReply> done) {
     ++counts_.begun;
     repair_pace_.note_turn(options_.steady_ms());
+    if (request.__isset.load) loads_.told(request.load, static_cast<double>(options_.steady_ms()));
     wire::BeginTurnReply reply;
     Status::type admitted = admit(request.map_epoch, request.identity);
     if (admitted == Status::ok && request.reserve > 0 && !votes_on(request.program))
@@ -51,6 +52,7 @@
     entry.tokens = request.reserve;
     if (request.reserve <= 0 || request.program.empty() || !store_.is_news(request.program, entry)) {
         tell_entries(request, store_.entries(request.program), reply);
+        tell_loads(request, reply);
         return done(reply);
     }
     wire::ProgramLedger ledger;
@@ -73,12 +75,22 @@
             if (!synced) reply.status = Status::full;
             if (is_stale(asked_epoch)) refuse_as_stale(reply);
             if (synced) tell_entries(request, store_.entries(request.program), reply);
+            tell_loads(request, reply);
             done(reply);
         });
 }
 
+// As of the answer, which waits for the disk.
+void StorageNode::tell_loads(const wire::BeginTurnRequest& request, wire::BeginTurnReply& reply) {
+    if (!request.__isset.load) return;
+    const auto now = static_cast<double>(options_.steady_ms());
+    reply.__set_other_requests(loads_.others(request.load, now));
+    reply.load_age_ms = static_cast<std::int32_t>(loads_.mean_age_ms(now));
+}
+
 void StorageNode::end(const wire::EndTurnRequest& request, Done<wire::EndTurnReply> done) {
     ++counts_.ended;
+    if (request.__isset.load) loads_.told(request.load, static_cast<double>(options_.steady_ms()));
     repair_pace_.note_turn(options_.steady_ms());
     wire::EndTurnReply reply;
     Status::type admitted = admit(request.map_epoch, request.identity);
--- a/src/storage_plane/storage_service.cpp
+++ b/src/storage_plane/storage_service.cpp
@@ -16,7 +16,6 @@
 #include "storage_plane/calls.hpp"
 #include "storage_plane/files.hpp"
 #include "storage_plane/repair.hpp"
-#include "storage_plane/shared_loads.hpp"
 #include "storage_plane/storage_node.hpp"
 
 namespace whinledge::storage_plane {
@@ -103,7 +102,8 @@
           timer_(io) {}
 
     void start() {
-        answer_turns();
+        answer(kBeginTurn, &StorageNode::begin);
+        answer(kEndTurn, &StorageNode::end);
         answer(kReadTurns, &StorageNode::read);
         answer(kChanges, &StorageNode::changes);
         answer(kFetch, &StorageNode::fetch);
@@ -176,40 +176,6 @@
                              }));
     }
 
-    // Turns bring along what their proxies have under way, and take back what others have.
-    void answer_turns() {
-        using Begun = rpc::Server::Responder<wire::BeginTurnReply>;
-        server_.on(kBeginTurn, std::function<void(const wire::BeginTurnRequest&, Begun)>(
-                                   [this](const wire::BeginTurnRequest& request, Begun respond) {
-                                       take_load(request);
-                                       node_->begin(request,
-                                                    [this, load = request.load, told = request.__isset.load,
-                                                     respond](wire::BeginTurnReply reply) {
-                                                        if (told) tell_loads(load, reply);
-                                                        respond(reply);
-                                                    });
-                                   }));
-        using Ended = rpc::Server::Responder<wire::EndTurnReply>;
-        server_.on(kEndTurn, std::function<void(const wire::EndTurnRequest&, Ended)>(
-                                 [this](const wire::EndTurnRequest& request, Ended respond) {
-                                     take_load(request);
-                                     node_->end(request, [respond](const wire::EndTurnReply& reply) {
-                                         respond(reply);
-                                     });
-                                 }));
-    }
-
-    void tell_loads(const wire::LoadReport& load, wire::BeginTurnReply& reply) {
-        const std::int64_t now = steady_ms();
-        reply.__set_other_requests(loads_.others(load, static_cast<double>(now)));
-        reply.load_age_ms = static_cast<std::int32_t>(loads_.mean_age_ms(static_cast<double>(now)));
-    }
-
-    template <class Request>
-    void take_load(const Request& request) {
-        if (request.__isset.load) loads_.told(request.load, steady_ms());
-    }
-
     // Behind all that is ready to run now: what has come in meanwhile shares one sync.
     void commit_soon() {
         if (std::exchange(commit_posted_, true)) return;
@@ -254,7 +220,6 @@
     bool commit_posted_ = false;
     std::unique_ptr<Folder> folder_;
     std::unique_ptr<StorageNode> node_;
-    SharedLoads loads_;
     rpc::Client client_;
     RemotePeers peers_;
     Repair repair_;
--- a/tests/tier/data_plane/service_pools_test.cpp
+++ b/tests/tier/data_plane/service_pools_test.cpp
@@ -3,6 +3,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <map>
 #include <string>
 
@@ -244,6 +245,48 @@
     EXPECT_EQ(later.candidates("models", request).front(), pools.candidates("models", request).front());
 }
 
+TEST_F(ServicePoolsTest, ReportsWhatIsOutAndAsksForModelServersAlone) {
+    EXPECT_TRUE(pools.load_report(true).under_way.empty());
+    pools.sent("models", 1, "s1", session("x"));
+    pools.sent("models", 2, "s1", session("y"));
+    const wire::LoadReport asking = pools.load_report(true), telling = pools.load_report(false);
+    const auto key = static_cast<std::int32_t>(placement::name_hash("s1"));
+    ASSERT_EQ(asking.under_way.size(), 1U);
+    EXPECT_EQ(asking.under_way[0].server, key);
+    EXPECT_EQ(asking.under_way[0].requests, 2);
+    EXPECT_EQ(asking.asked.size(), 6U);
+    EXPECT_TRUE(telling.asked.empty());
+    EXPECT_EQ(telling.under_way, asking.under_way);
+    EXPECT_GT(telling.number, asking.number);
+    EXPECT_EQ(telling.proxy, asking.proxy);
+}
+
+TEST_F(ServicePoolsTest, AServerThatOtherProxiesFillIsNoCandidate) {
+    storage_plane::ToldLoads told;
+    told.servers = pools.load_report(true).asked;
+    told.other_requests.assign(told.servers.size(), 0);
+    const auto full = static_cast<std::int32_t>(placement::name_hash("s3"));
+    const auto at = std::find(told.servers.begin(), told.servers.end(), full);
+    ASSERT_NE(at, told.servers.end());
+    told.other_requests[static_cast<std::size_t>(at - told.servers.begin())] = 30;
+    pools.loads_told(told);
+    for (const char* name : {"x", "y", "z", "v", "w"}) {
+        const auto candidates = pools.candidates("models", session(name));
+        ASSERT_FALSE(candidates.empty());
+        EXPECT_EQ(std::count(candidates.begin(), candidates.end(), "s3"), 0) << name;
+    }
+}
+
+TEST_F(ServicePoolsTest, AReplyThatIsShorterThanItsQuestionTellsOfTheFirst) {
+    storage_plane::ToldLoads told;
+    told.servers = pools.load_report(true).asked;
+    told.other_requests = {1, 2};
+    pools.loads_told(told);
+    told.servers.clear();
+    pools.loads_told(told);
+    EXPECT_FALSE(pools.candidates("models", session("x")).empty());
+}
+
 TEST_F(ServicePoolsTest, ToolsHaveNoCandidates) {
     EXPECT_TRUE(pools.candidates("tools", session("x")).empty());
 }
--- a/tests/tier/placement/told_loads_test.cpp
+++ b/tests/tier/placement/told_loads_test.cpp
@@ -41,9 +41,14 @@
         return {};
     }
     static Request request() { return {7, {{1, 1500}, {2, 500}}, {2000, 100}, 2000, 0}; }
+    void tell(const std::string& server, int requests, Millis age, Millis now) {
+        placement.others_told({{key(server), requests}}, age, now);
+    }
     void tell_all(int requests, Millis age, Millis now = kNow) {
+        std::vector<Placement::ServerRequests> all;
         for (int i = 1; i <= 4; ++i)
-            placement.others_told(key(std::string("n").append(std::to_string(i))), requests, age, now);
+            all.push_back({key(std::string("n").append(std::to_string(i))), requests});
+        placement.others_told(all, age, now);
     }
 };
 
@@ -51,7 +56,7 @@
     World world;
     world.tell_all(0, 0);
     const Millis idle = world.at("n2").total();
-    world.placement.others_told(key("n2"), 6, 0, kNow);
+    world.tell("n2", 6, 0, kNow);
     EXPECT_GT(world.at("n2").total(), idle);
     EXPECT_LT(world.at("n1").total(), world.at("n2").total());
 }
@@ -59,7 +64,7 @@
 TEST(ToldLoads, AFullServerIsNoCandidateWhileOthersAreIdle) {
     World world;
     world.tell_all(0, 0);
-    world.placement.others_told(key("n3"), 20, 0, kNow);
+    world.tell("n3", 20, 0, kNow);
     const auto names = world.placement.candidates(World::request(), kNow);
     ASSERT_FALSE(names.empty());
     EXPECT_EQ(std::count(names.begin(), names.end(), "n3"), 0);
@@ -69,10 +74,10 @@
     World fresh, old;
     for (World* const world : {&fresh, &old}) {
         world->tell_all(4, 0);
-        world->placement.others_told(key("n3"), 8, 0, kNow);  // the mean stays
+        world->tell("n3", 8, 0, kNow);  // the mean stays
     }
-    fresh.placement.others_told(key("n1"), 0, 0, kNow);
-    old.placement.others_told(key("n1"), 0, 5000, kNow);
+    fresh.tell("n1", 0, 0, kNow);
+    old.tell("n1", 0, 5000, kNow);
     const auto gained = [](const World& world) { return world.at("n2").total() - world.at("n1").total(); };
     EXPECT_GT(gained(fresh), 0);
     EXPECT_LT(gained(old), 0.01 * gained(fresh)) << "all processes would go there together";
@@ -81,7 +86,7 @@
 TEST(ToldLoads, AreForgottenTowardsTheMean) {
     World world;
     world.tell_all(0, 0);
-    world.placement.others_told(key("n1"), 8, 0, kNow);
+    world.tell("n1", 8, 0, kNow);
     const Millis now = world.at("n1", kNow).decode, later = world.at("n1", kNow + 20000).decode;
     EXPECT_LT(later, now);
 }
@@ -89,19 +94,19 @@
 TEST(ToldLoads, AnAgeThatCannotBeIsTakenAsNone) {
     World world;
     world.tell_all(0, 0);
-    world.placement.others_told(key("n1"), 8, -1000, kNow);
+    world.tell("n1", 8, -1000, kNow);
     World same;
     same.tell_all(0, 0);
-    same.placement.others_told(key("n1"), 8, 0, kNow);
+    same.tell("n1", 8, 0, kNow);
     EXPECT_DOUBLE_EQ(world.at("n1").total(), same.at("n1").total());
-    world.placement.others_told(key("n1"), -8, 0, kNow);
+    world.tell("n1", -8, 0, kNow);
     EXPECT_GE(world.at("n1").decode, 0);
 }
 
 TEST(ToldLoads, OfServersThatAreNotKnownHaveNoEffect) {
     World world;
     const Millis before = world.at("n1").total();
-    world.placement.others_told(key("nobody"), 8, 0, kNow);
+    world.tell("nobody", 8, 0, kNow);
     EXPECT_DOUBLE_EQ(world.at("n1").total(), before);
 }
 
--- a/tests/tier/storage_plane/storage_node_test.cpp
+++ b/tests/tier/storage_plane/storage_node_test.cpp
@@ -34,6 +34,46 @@
     EXPECT_EQ(read("t", 5).status, Status::ok);
 }
 
+// A turn that waits for the disk is told of what came meanwhile; one of an older map tells all the same.
+TEST_F(StorageNodeTest, TellsATurnWhatOtherProxiesHaveUnderWay) {
+    found();
+    const auto load = [](std::int64_t proxy, std::int32_t requests) {
+        wire::ServerRequests at;
+        at.server = 7;
+        at.requests = requests;
+        wire::LoadReport report;
+        report.proxy = proxy;
+        report.number = 1;
+        report.under_way = {at};
+        report.asked = {7};
+        return report;
+    };
+    wire::BeginTurnRequest begin;
+    begin.map_epoch = 1;
+    begin.identity = node_->identity();
+    begin.program = "p";
+    begin.turn = "t";
+    begin.reserve = 10;
+    begin.__set_load(load(1, 3));
+    std::vector<wire::BeginTurnReply> replies;
+    node_->begin(begin, [&](const wire::BeginTurnReply& reply) { replies.push_back(reply); });
+    EXPECT_TRUE(replies.empty()) << "its reservation is not synced";
+    wire::EndTurnRequest end;
+    end.map_epoch = 0;
+    end.identity = node_->identity();
+    end.__set_load(load(2, 5));
+    node_->end(end, [](const wire::EndTurnReply& reply) { EXPECT_EQ(reply.status, Status::stale_map); });
+    now_ms_ += 40;
+    node_->commit();
+    ASSERT_EQ(replies.size(), 1U);
+    EXPECT_EQ(replies[0].other_requests, (std::vector<std::int32_t>{5}));
+    EXPECT_EQ(replies[0].load_age_ms, 40);
+    begin.__isset.load = false;
+    node_->begin(begin, [&](const wire::BeginTurnReply& reply) { replies.push_back(reply); });
+    ASSERT_EQ(replies.size(), 2U);
+    EXPECT_FALSE(replies[1].__isset.other_requests) << "it asks nothing";
+}
+
 TEST_F(StorageNodeTest, VotesOnlyOnceItIsAMemberAndFilled) {
     node_->set_map(map(4, State::joining));
     EXPECT_EQ(read("t", 4).status, Status::not_voting);
