Tests: zones that are full by what proxies tell, and a zone that has room again

A zone at twice its slots sends on and has its programs back as soon as it is told, of three with two full the third is used, where all are full alike or nothing is told programs stay.

--- a/tests/tier/placement/told_loads_test.cpp
+++ b/tests/tier/placement/told_loads_test.cpp
@@ -110,6 +110,66 @@
     EXPECT_DOUBLE_EQ(world.at("n1").total(), before);
 }
 
+// Three zones of four servers of 8 slots each, as a process of the first sees them.
+struct Zones {
+    Placement placement{settings()};
+    Zones() {
+        std::vector<ListedServer> all;
+        for (const char* zone : {"here", "there", "yonder"})
+            for (int i = 1; i <= 4; ++i)
+                all.push_back({std::string(zone).append(std::to_string(i)), zone, false, 0, 8});
+        placement.set_servers(all, kNow);
+    }
+    void tell(const std::string& zone, int requests, Millis now) {
+        std::vector<Placement::ServerRequests> all;
+        for (int i = 1; i <= 4; ++i)
+            all.push_back({key(std::string(zone).append(std::to_string(i))), requests});
+        placement.others_told(all, 0, now);
+    }
+    // Zones of the best servers of so many new programs.
+    std::set<std::string> used(Millis now) {
+        std::set<std::string> zones;
+        for (std::uint64_t program = 1; program <= 40; ++program) {
+            Request request{7, {{1, 1500}, {1000 + program, 500}}, {2000, 100}, 2000, program};
+            request.program = program;
+            const std::string best = placement.candidates(request, now).front();
+            zones.insert(best.substr(0, best.size() - 1));
+        }
+        return zones;
+    }
+};
+
+using ZoneNames = std::set<std::string>;
+
+TEST(ToldLoads, AZoneAtTwiceItsSlotsSendsOnToThoseWithRoomAndHasItsProgramsBack) {
+    Zones zones;
+    for (const char* zone : {"here", "there", "yonder"}) zones.tell(zone, 2, kNow);
+    EXPECT_EQ(zones.used(kNow), ZoneNames{"here"});
+    zones.tell("here", 16, kNow + 100);
+    EXPECT_FALSE(zones.used(kNow + 100).contains("here"));
+    zones.tell("here", 2, kNow + 200);
+    EXPECT_EQ(zones.used(kNow + 200), ZoneNames{"here"}) << "as soon as it is told";
+}
+
+TEST(ToldLoads, OfThreeZonesWithTwoFullTheThirdIsUsed) {
+    Zones zones;
+    zones.tell("here", 16, kNow);
+    zones.tell("there", 16, kNow);
+    zones.tell("yonder", 2, kNow);
+    EXPECT_EQ(zones.used(kNow), ZoneNames{"yonder"});
+}
+
+TEST(ToldLoads, WhereAllZonesAreFullAlikeProgramsStay) {
+    Zones zones;
+    for (const char* zone : {"here", "there", "yonder"}) zones.tell(zone, 16, kNow);
+    EXPECT_EQ(zones.used(kNow), ZoneNames{"here"});
+}
+
+TEST(ToldLoads, WithNothingToldProgramsStay) {
+    Zones zones;
+    EXPECT_EQ(zones.used(kNow), ZoneNames{"here"});
+}
+
 TEST(ToldLoads, OwnRequestsAreThoseThatAreOut) {
     World world;
     EXPECT_TRUE(world.placement.own_requests().empty());
