--- a/src/storage_plane/shared_loads.cpp
+++ b/src/storage_plane/shared_loads.cpp
@@ -1,6 +1,7 @@
 #include "storage_plane/shared_loads.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace whinledge::storage_plane {
@@ -27,7 +28,8 @@
     }
     for (const auto& [server, requests] : taken.under_way) requests_[server] += requests;
     told_ms_sum_ += now_ms;
-    by_proxy_[taken.proxy] = reports_.insert(reports_.end(), std::move(taken));
+    reports_.push_back(std::move(taken));
+    by_proxy_[report.proxy] = std::prev(reports_.end());
     if (reports_.size() > options_.most_proxies) forget(reports_.begin());
 }
 
--- a/src/storage_plane/turn_client.cpp
+++ b/src/storage_plane/turn_client.cpp
@@ -129,26 +129,34 @@
 
     std::function<void(rpc::Result<wire::BeginTurnReply>)> take_begun(std::uint64_t send,
                                                                       std::vector<std::int32_t> asked) {
-        return [this, weak = weak_from_this(), asked = std::move(asked), asked_ms = now_ms(),
-                next = take<wire::BeginTurnReply>(send)](rpc::Result<wire::BeginTurnReply> reply) {
-            if (const auto self = weak.lock(); self && reply && loads_told_)
-                loads_told_(
-                    {asked, reply.value().other_requests, reply.value().load_age_ms + now_ms() - asked_ms});
-            next(std::move(reply));
+        return [weak = weak_from_this(), send, asked = std::move(asked),
+                asked_ms = now_ms()](rpc::Result<wire::BeginTurnReply> reply) {
+            const auto self = weak.lock();
+            if (!self) return;
+            if (reply) self->tell_loads(asked, asked_ms, reply.value());
+            self->replied(send, std::move(reply));
         };
     }
 
     template <class Reply>
     std::function<void(rpc::Result<Reply>)> take(std::uint64_t send) {
         return [weak = weak_from_this(), send](rpc::Result<Reply> reply) {
-            const auto self = weak.lock();
-            if (!self) return;
-            const TurnReply typed = reply ? TurnReply(std::move(reply.value())) : TurnReply(NoReply());
-            self->quorum_.replied(send, typed, now_ms());
-            self->flush();
+            if (const auto self = weak.lock()) self->replied(send, std::move(reply));
         };
     }
 
+    void tell_loads(const std::vector<std::int32_t>& asked, double asked_ms,
+                    const wire::BeginTurnReply& reply) {
+        if (loads_told_) loads_told_({asked, reply.other_requests, reply.load_age_ms + now_ms() - asked_ms});
+    }
+
+    template <class Reply>
+    void replied(std::uint64_t send, rpc::Result<Reply> reply) {
+        const TurnReply typed = reply ? TurnReply(std::move(reply.value())) : TurnReply(NoReply());
+        quorum_.replied(send, typed, now_ms());
+        flush();
+    }
+
     void deliver(TurnOutcome outcome) {
         if (auto* begun = std::get_if<BegunTurn>(&outcome.result)) {
             const auto found = begins_.find(outcome.operation);
