--- a/src/data_plane/exchange.cpp
+++ b/src/data_plane/exchange.cpp
@@ -211,7 +211,8 @@
     });
     head.add("Time-Left", static_cast<std::uint64_t>(std::max(1.0, time_left)));
     if (!member_.empty()) head.add("Wanted-Server", member_);
-    if (const Millis needs = host_.pools.idle_ms(service_, prompt_); needs > 0) {
+    const Millis needs = host_.pools.idle_ms(service_, prompt_);
+    if (needs > 0 && host_.pools.mechanisms().urgency) {
         placement::UrgencyFacts facts;
         facts.rank = request_.route->priority;
         if (request_.facts.finish_in)
--- a/src/data_plane/proxy.cpp
+++ b/src/data_plane/proxy.cpp
@@ -78,6 +78,11 @@
     return admission;
 }
 
+placement::Mechanisms mechanisms_of(const node::Settings& settings) {
+    const auto mechanisms = placement::all_without(settings.decide_without);
+    return mechanisms ? mechanisms.value() : placement::Mechanisms();
+}
+
 Door::Tcp::endpoint endpoint(const std::string& address) { return endpoint_of<asio::ip::tcp>(address); }
 
 }  // namespace
@@ -148,6 +153,7 @@
     options.zone = settings_.zone;
     options.seed = random_();
     options.admission = admission_settings(settings_);
+    options.mechanisms = mechanisms_of(settings_);
     if (!settings_.shared_connections) return options;
     options.limit_connections = [this](PoolId pool, std::size_t each_server) {
         transport_.upstream().limit_connections(pool, each_server);
@@ -242,6 +248,7 @@
     }
     if (settings.bound_programs != settings_.bound_programs)
         pools_.set_admission(admission_settings(settings));
+    pools_.set_mechanisms(mechanisms_of(settings));
     openings_.set_on(settings.share_openings);
     settings_ = settings;
 }
--- a/src/data_plane/service_pools.cpp
+++ b/src/data_plane/service_pools.cpp
@@ -238,6 +238,7 @@
     if (!service.engine) return;  // what is out may still name the placement of one that had
     placement::Settings settings;
     settings.zone = options_.zone;
+    settings.mechanisms = options_.mechanisms;
     if (service.engine->slots > 0) settings.slots = service.engine->slots;
     if (service.engine->memory_tokens > 0) settings.memory_tokens = service.engine->memory_tokens;
     if (pool.placement)
@@ -246,6 +247,12 @@
         pool.placement = std::make_unique<placement::Placement>(std::move(settings));
 }
 
+void ServicePools::set_mechanisms(const placement::Mechanisms& mechanisms) {
+    options_.mechanisms = mechanisms;
+    for (auto& [service, pool] : pools_)
+        if (pool.placement) pool.placement->set_mechanisms(mechanisms);
+}
+
 placement::Placement* ServicePools::placement_of(std::string_view service) const {
     const auto at = pools_.find(service);
     return at == pools_.end() ? nullptr : at->second.placement.get();
--- a/src/data_plane/service_pools.hpp
+++ b/src/data_plane/service_pools.hpp
@@ -30,6 +30,7 @@
         std::string zone;                          // of this process; servers there are preferred
         std::uint64_t seed = 0;                    // of the choices
         placement::AdmissionSettings admission{};  // of programs, to model servers
+        placement::Mechanisms mechanisms{};        // of the choice of a model server
         // How many connections each server of a pool may have from here; 0: any number. Empty: not wanted.
         std::function<void(PoolId, std::size_t)> limit_connections{};
     };
@@ -81,6 +82,9 @@
     bool admit(std::string_view service, const placement::ProgramTurn& turn);
     // From here on; nothing is known of programs under way then.
     void set_admission(const placement::AdmissionSettings& settings);
+    // From here on; what is known of servers stays.
+    void set_mechanisms(const placement::Mechanisms& mechanisms);
+    const placement::Mechanisms& mechanisms() const { return options_.mechanisms; }
     // A stream's first event is waited for, has come, or won't come.
     void awaits(std::string_view service, const placement::AwaitedEvent& event);
     void stream_began(std::string_view service, const placement::AwaitedEvent& event);
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -191,7 +191,7 @@
 
 void Placement::load_seen(std::string_view id, const Load& load, Millis now) {
     Server* const server = find(id);
-    if (!server) return;
+    if (!server || !settings_.mechanisms.told_load) return;
     server->told_slots = load.slots;
     server->others = std::max(0, load.running + load.waiting - server->out);
     server->load_at = now;
@@ -222,6 +222,7 @@
 }
 
 void Placement::others_told(const std::vector<ServerRequests>& at_servers, Millis age, Millis now) {
+    if (!settings_.mechanisms.told_load) return;
     double sum = 0, count = 0;
     for (const ServerRequests& told : at_servers) {
         if (!by_key_.contains(told.server)) continue;
@@ -254,7 +255,8 @@
     ask.parts.reserve(request.parts.size());
     std::int64_t told = 0;
     for (const PromptPart& part : request.parts) {
-        ask.parts.push_back({mixed(part.id, request.model), part.tokens});
+        if (settings_.mechanisms.kept_parts)
+            ask.parts.push_back({mixed(part.id, request.model), part.tokens});
         told += part.tokens;
     }
     ask.prompt = std::max(request.tokens.prompt, told);
@@ -300,7 +302,7 @@
 // program.
 const Placement::Server* Placement::home(const Ask& ask) const {
     const std::uint64_t key = ask.request.program ? ask.request.program : ask.request.line;
-    if (!key) return nullptr;
+    if (!key || !settings_.mechanisms.homes) return nullptr;
     const Server* home = nullptr;
     const auto before = [&](const Server& a, const Server& b) {
         if (is_near(a) != is_near(b)) return is_near(a);
@@ -317,7 +319,7 @@
 }
 
 bool Placement::is_holder(const Server& server, const Ask& ask) const {
-    if (!ask.start) return true;
+    if (!ask.start || !settings_.mechanisms.holders) return true;
     return mixed(ask.start, server.hash) >= ask.last_holder && (is_near(server) || !ask.in_zone);
 }
 
@@ -370,21 +372,25 @@
 Estimate Placement::estimate(const Server& server, const Ask& ask, Millis now) const {
     const double others = others_at(server, ask.mean_others, now), busy = others + server.out,
                  slots = slots_of(server);
+    const Mechanisms& mechanisms = settings_.mechanisms;
     const std::int64_t kept = server.kept.kept(ask.parts);
     const auto out = static_cast<double>(ask.request.tokens.most_out);
     Estimate e;
     e.server = server.listed.id;
     e.server_hash = server.hash;
     e.prefill = static_cast<double>(ask.prompt - kept + server.unread) / settings_.prefill_tokens_per_ms;
-    e.decode = out * (settings_.step_ms + settings_.crowded_step_ms * std::min(1.0, busy / slots));
-    const double cold = std::min(1.0, cold_left(server, now) / kColdSpan) * settings_.cold_slowdown;
-    e.prefill *= 1 + cold, e.decode *= 1 + cold;
-    e.queue = queue_ms(server, busy);
-    e.memory = memory_ms(server, ask, others);
-    if (!is_near(server))
+    const double crowd = mechanisms.crowding ? std::min(1.0, busy / slots) : 0;
+    e.decode = out * (settings_.step_ms + settings_.crowded_step_ms * crowd);
+    if (mechanisms.cold) {
+        const double cold = std::min(1.0, cold_left(server, now) / kColdSpan) * settings_.cold_slowdown;
+        e.prefill *= 1 + cold, e.decode *= 1 + cold;
+    }
+    if (mechanisms.queue) e.queue = queue_ms(server, busy);
+    if (mechanisms.memory) e.memory = memory_ms(server, ask, others);
+    if (!is_near(server) && mechanisms.crossing)
         e.crossing = settings_.crossing_ms +
                      settings_.crossing_ms_per_kilobyte * static_cast<double>(ask.request.bytes) / 1000;
-    if (!server.unbegun.empty() && now - server.unbegun.front() > ask.longest_wait)
+    if (mechanisms.silence && !server.unbegun.empty() && now - server.unbegun.front() > ask.longest_wait)
         e.silence = settings_.silence_cost_ms;
     e.due = due_ms(server, ask, kept);
     e.strayed = strayed_ms(server, ask, kept);
@@ -458,6 +464,7 @@
 
 std::vector<std::string> Placement::candidates(const Request& request, Millis now) {
     count(request, now);
+    if (!settings_.mechanisms.candidates) return {};
     if (request.tokens == TokenCount{} && request.parts.empty()) return {};
     std::vector<Estimate> all = estimates(request, now);
     if (all.empty()) return {};
@@ -472,7 +479,8 @@
     std::partial_sort(all.begin(), all.begin() + static_cast<std::ptrdiff_t>(ranked), all.end(), cheaper);
     const Millis least = all.front().total();
     const Millis idle = static_cast<double>(request.tokens.most_out) * settings_.step_ms;
-    const Millis most = least + settings_.margin_ms + settings_.margin_share * std::max(0.0, least - idle);
+    const Millis margin = settings_.margin_ms + settings_.margin_share * std::max(0.0, least - idle);
+    const Millis most = least + (settings_.mechanisms.margins ? margin : 0);
     std::vector<std::string> worth_it;
     for (const Estimate& e : std::span(all).first(ranked)) {
         const bool second = worth_it.size() == 1 && all.front().saved - e.saved <= settings_.sole_ms;
--- a/src/placement/placement.hpp
+++ b/src/placement/placement.hpp
@@ -17,6 +17,7 @@
 
 #include "placement/fading_sum.hpp"
 #include "placement/kept_parts.hpp"
+#include "placement/mechanisms.hpp"
 #include "placement/prompt.hpp"
 #include "placement/start_rates.hpp"
 
@@ -26,6 +27,7 @@
 
 struct Settings {
     std::string zone{};  // of this process; empty: crossing costs nothing
+    Mechanisms mechanisms{};
 
     // A server's work, on an idle machine.
     double prefill_tokens_per_ms = 32.4;
@@ -128,6 +130,7 @@
 
     // Others from here on; what is known of the servers stays.
     void change(Settings settings) { settings_ = std::move(settings); }
+    void set_mechanisms(const Mechanisms& mechanisms) { settings_.mechanisms = mechanisms; }
     // The whole list; what is known of servers that it does not name is forgotten.
     void set_servers(const std::vector<ListedServer>& servers, Millis now);
 
--- a/src/programs/hosted_service.cpp
+++ b/src/programs/hosted_service.cpp
@@ -45,13 +45,18 @@
     return usage;
 }
 
+std::optional<std::string> fault_of(const Daemon& daemon, const node::Settings& settings) {
+    return daemon.fault ? daemon.fault(settings) : std::nullopt;
+}
+
 // The loop of one daemon, with its signals and its looks at the settings file.
 class Host {
 public:
     // Signals are caught before the service starts: one that comes meanwhile is not lost.
     Host(const Daemon& daemon, std::string path, std::vector<std::string> overrides,
          const node::Settings& settings)
-        : path_(std::move(path)),
+        : daemon_(daemon),
+          path_(std::move(path)),
           overrides_(std::move(overrides)),
           ends_(io_, SIGTERM, SIGINT),
           hangups_(io_, SIGHUP),
@@ -99,10 +104,15 @@
             LOG(ERROR) << "the settings before stay in force: " << changed.error().message;
             return;
         }
+        if (const auto fault = fault_of(daemon_, changed.value())) {
+            LOG(ERROR) << "the settings before stay in force: " << *fault;
+            return;
+        }
         service_->change(changed.value());
         LOG(INFO) << "the settings were read again";
     }
 
+    const Daemon& daemon_;
     std::string path_;
     std::vector<std::string> overrides_;  // of the settings in the file
     boost::asio::io_context io_{1};
@@ -133,6 +143,10 @@
         std::cerr << settings.error().message << "\n";
         return EXIT_FAILURE;
     }
+    if (const auto fault = fault_of(daemon, settings.value())) {
+        std::cerr << *fault << "\n";
+        return EXIT_FAILURE;
+    }
     if (!options["--check"].asBool()) Host(daemon, path, overrides, settings.value()).run();
     return EXIT_SUCCESS;
 }
--- a/src/programs/hosted_service.hpp
+++ b/src/programs/hosted_service.hpp
@@ -4,6 +4,7 @@
 #include <boost/asio/io_context.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "node/settings.hpp"
@@ -26,6 +27,8 @@
     const char* name;     // of the program
     const char* purpose;  // the first line of its usage
     std::function<std::unique_ptr<HostedService>(boost::asio::io_context&, const node::Settings&)> start;
+    // What of the settings only this program can tell to be wrong, with key and remedy. Empty: nothing.
+    std::function<std::optional<std::string>(const node::Settings&)> fault{};
 };
 
 // Reads the command line and the settings, and serves until SIGTERM or SIGINT; SIGHUP, or a change of the
--- a/tests/integration/compare_builds_test.sh
+++ b/tests/integration/compare_builds_test.sh
@@ -45,6 +45,13 @@
 echo 0.900 >"$work/after/worth"
 says "^all .* +0.000 .* can't be told$" "$(compare)"
 
+mkdir -p "$work/worse/journal"
+echo 0.850 >"$work/worse/worth"
+echo 0.950 >"$work/after/worth"
+said=$("$tool" --bench "$work/bench" --seeds 1-6 --workers 1 "$work/site.toml" "$work/before" "$work/after" "$work/worse")
+says '^all .* +0.100 .* better$' "$(sed -n '/^after$/,/^worse$/p' <<<"$said")"
+says '^all .* -0.100 .* worse$' "$(sed -n '/^worse$/,$p' <<<"$said")"
+
 touch "$work/after/broken"
 status=0
 said=$(compare) || status=$?
--- a/tests/tier/lab/experiment_test.cpp
+++ b/tests/tier/lab/experiment_test.cpp
@@ -56,6 +56,15 @@
     EXPECT_TRUE(read_one.arms[0].urgency);
 }
 
+TEST(LabExperiment, AnArmLeavesOutMechanisms) {
+    const auto read = read_experiment(kPlain + "without = [\"homes\", \"cold\"]\n", "try.toml");
+    ASSERT_TRUE(std::holds_alternative<Experiment>(read));
+    placement::Mechanisms wanted;
+    wanted.homes = false;
+    wanted.cold = false;
+    EXPECT_EQ(std::get<Experiment>(read).arms[0].mechanisms, wanted);
+}
+
 struct BadCase {
     const char* what;
     std::string text, fault;  // a part of the fault that it has to have
@@ -78,6 +87,7 @@
         {"an arm twice", kPlain + "[[arm]]\nname = \"all\"\n", "try.toml:11"},
         {"an arm without a name", kPlain + "[[arm]]\nurgency = false\n", "give the arm's name"},
         {"a choice that is not known", kPlain + "choice = \"best\"\n", "try.toml:10"},
+        {"a mechanism that is not known", kPlain + "without = [\"houses\"]\n", "'houses' is no mechanism"},
         {"a tool that is not known", replaced(kPlain, "[[arm]]", "tools = [{ kind = \"sleep\" }]\n[[arm]]"),
          "there is no [[tool_call]]"},
         {"an amount without a mean", replaced(kPlain, "[[arm]]", "turns = { spread = 1 }\n[[arm]]"),
--- a/tools/lab/experiment.hpp
+++ b/tools/lab/experiment.hpp
@@ -12,6 +12,7 @@
 #include "lab/model_server.hpp"
 #include "lab/random.hpp"
 #include "lab/tool_server.hpp"
+#include "placement/mechanisms.hpp"
 
 namespace whinledge::lab {
 
@@ -96,10 +97,11 @@
 struct Arm {
     std::string name;
     Choice choice = Choice::prefix;
-    bool kept_prefix = true;       // placement is told of prompts' parts and of lines
-    bool told_load = true;         // `Server-Load`
-    bool urgency = true;           // `Priority`
-    bool zones = true;             // the own zone is preferred
+    bool kept_prefix = true;  // placement is told of prompts' parts and of lines
+    bool told_load = true;    // `Server-Load`
+    bool urgency = true;      // `Priority`
+    bool zones = true;        // the own zone is preferred
+    placement::Mechanisms mechanisms{};
     bool shared_loads = false;     // proxies tell with their turns what they have under way (simulated alone)
     bool shared_openings = false;  // proxies are told which openings are busiest in all (simulated alone)
 };
--- a/tools/lab/proxy.cpp
+++ b/tools/lab/proxy.cpp
@@ -103,6 +103,7 @@
     data_plane::ServicePools::Options options;
     if (arm.zones) options.zone = experiment.deployment.zones[where.zone];
     options.seed = random_.next();
+    options.mechanisms = arm.mechanisms;
     pools_ = std::make_unique<data_plane::ServicePools>(engine_, *this, std::move(options));
 }
 
@@ -202,7 +203,7 @@
 
 int Proxy::priority(const ClientRequest& request) {
     const Millis needs = pools_->idle_ms(kModels, request.prompt);
-    if (!arm_.urgency || needs <= 0) return placement::kPlainPriority;
+    if (!arm_.urgency || !arm_.mechanisms.urgency || needs <= 0) return placement::kPlainPriority;
     placement::UrgencyFacts facts;
     facts.rank = request.rank;
     facts.finish_ms = request.finish_ms;
--- a/tools/lab/read_experiment.cpp
+++ b/tools/lab/read_experiment.cpp
@@ -12,7 +12,8 @@
 using config::Range;
 using config::Table;
 
-constexpr std::size_t kMostKinds = 32, kMostArms = 16, kMostTroubles = 64, kMostZones = 32;
+constexpr std::size_t kMostKinds = 32, kMostArms = 16, kMostTroubles = 64, kMostZones = 32,
+                      kMostMechanisms = 32;
 constexpr Range<double> kShare{0, 1}, kMillis{0, 600000}, kTokens{1, 1e6}, kFactor{0.01, 1000},
     kRate{0, 100000};
 constexpr Range<std::int64_t> kMachines{1, 5000};
@@ -212,6 +213,20 @@
     }
 }
 
+void read_mechanisms(Table& table, Arm& arm) {
+    if (!table.has("without")) return;
+    std::vector<std::string> names;
+    std::size_t index = 0;
+    for (const config::Value& item : table.items("without", kMostMechanisms)) {
+        std::string name;
+        if (table.text(item, table.item_path("without", index++), name, config::kName))
+            names.push_back(std::move(name));
+    }
+    const auto mechanisms = placement::all_without(names);
+    if (!mechanisms) return table.fault("without", mechanisms.error().message);
+    arm.mechanisms = mechanisms.value();
+}
+
 void read_arms(Table& root, Experiment& experiment) {
     root.need("arm", "give one [[arm]] at least; the first is what the others are compared with");
     std::set<std::string> names;
@@ -227,6 +242,7 @@
         table.read("zones", arm.zones);
         table.read("shared_loads", arm.shared_loads);
         table.read("shared_openings", arm.shared_openings);
+        read_mechanisms(table, arm);
         table.done();
         experiment.arms.push_back(std::move(arm));
     }
