Placement: a server that tells of a load no server has is believed to a bound

Cause: Server-Load was read without a bound; running and waiting of 2,147,483,647 each overflow their sum, which is undefined. Change: each figure is cut at 65,536, as loads that proxies tell each other are. Result: LoadField.FiguresThatNoServerHasAreCut fails before and passes now; 137 placement tests pass.

--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr std::size_t kLeastHolders = 2;
+constexpr int kMostRequests = 1 << 16;  // at one server, that a load is believed to tell of
 // What others tell of a beginning counts as much as so many requests of late that came through here.
 constexpr double kToldRequests = 50;
 constexpr double kLeastWaits = 3;   // first tokens of late, to tell how long they take
@@ -28,6 +29,7 @@
         const auto comma = std::min(text.find(','), text.size());
         const auto [end, error] = std::from_chars(text.data(), text.data() + comma, *figure);
         if (error != std::errc{} || end != text.data() + comma || *figure < 0) return false;
+        *figure = std::min(*figure, kMostRequests);
         text.remove_prefix(std::min(comma + 1, text.size()));
     }
     load = read;
--- a/src/placement/placement.hpp
+++ b/src/placement/placement.hpp
@@ -98,7 +98,7 @@
     int running = 0, waiting = 0, slots = 0;
 };
 
-// "running,waiting,slots"; false: it can't be read.
+// "running,waiting,slots"; false: it can't be read. Figures that no server has are cut.
 bool parse_load(std::string_view text, Load& load);
 
 // What a request would cost at one server, in milliseconds.
--- a/tests/tier/placement/prompt_test.cpp
+++ b/tests/tier/placement/prompt_test.cpp
@@ -49,5 +49,13 @@
     EXPECT_EQ(load.running, 3) << "left as it was";
 }
 
+TEST(LoadField, FiguresThatNoServerHasAreCut) {
+    Load load;
+    ASSERT_TRUE(parse_load("2147483647,2147483647,2147483647", load));
+    EXPECT_EQ(load.running, 1 << 16);
+    EXPECT_EQ(load.waiting, 1 << 16);
+    EXPECT_EQ(load.slots, 1 << 16);
+}
+
 }  // namespace
 }  // namespace whinledge::placement
