Placement: the two cheapest servers are worth it, without margins for more

Change: the two cheapest alone; margin_ms, margin_share, most_candidates and the mechanism margins are gone.

--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -5,7 +5,6 @@
 #include <cmath>
 #include <functional>
 #include <limits>
-#include <span>
 #include <utility>
 
 namespace whinledge::placement {
@@ -13,6 +12,7 @@
 namespace {
 
 constexpr std::size_t kLeastHolders = 2;
+constexpr std::size_t kMostCandidates = 2;
 constexpr int kMostRequests = 1 << 16;  // at one server, that a load is believed to tell of
 // What others tell of a beginning counts as much as so many requests of late that came through here.
 constexpr double kToldRequests = 50;
@@ -476,19 +476,11 @@
         if (a.total() != b.total()) return a.total() < b.total();
         return mixed(own, a.server_hash) > mixed(own, b.server_hash);
     };
-    // No more than these are looked at.
-    const std::size_t ranked = std::min(all.size(), std::max<std::size_t>(settings_.most_candidates, 1));
+    const std::size_t ranked = std::min(all.size(), kMostCandidates);
     std::partial_sort(all.begin(), all.begin() + static_cast<std::ptrdiff_t>(ranked), all.end(), cheaper);
-    const Millis least = all.front().total();
-    const Millis idle = static_cast<double>(request.tokens.most_out) * settings_.step_ms;
-    const Millis margin = settings_.margin_ms + settings_.margin_share * std::max(0.0, least - idle);
-    const Millis most = least + (settings_.mechanisms.margins ? margin : 0);
-    std::vector<std::string> worth_it;
-    for (const Estimate& e : std::span(all).first(ranked)) {
-        const bool second = worth_it.size() == 1 && all.front().saved - e.saved <= settings_.sole_ms;
-        if (e.total() > most && !second) break;
-        worth_it.emplace_back(e.server);
-    }
+    std::vector<std::string> worth_it{std::string(all.front().server)};
+    const bool evens_out = ranked > 1 && all[0].saved - all[1].saved <= settings_.sole_ms;
+    if (evens_out) worth_it.emplace_back(all[1].server);
     return worth_it;
 }
 
--- a/src/placement/placement.hpp
+++ b/src/placement/placement.hpp
@@ -53,14 +53,9 @@
     // Of a line with earlier turns that other processes have sent, its home is taken to keep this share.
     double home_trust = 0.5;
 
-    // Worth it is whoever costs no more than the best and this; and this share of what the best costs beyond
-    // an idle server that keeps all of the prompt.
-    Millis margin_ms = 4;
-    double margin_share = 0.15;
-    // Two servers at least are worth it, unless the first saves more than the second by this, in reading and
-    // crossing: evening out between the two is worth less.
+    // The two cheapest servers are worth it, unless the first saves more than the second by this, in reading
+    // and crossing: evening out between the two is worth less.
     Millis sole_ms = 15;
-    std::size_t most_candidates = 16;
 
     // A server that has not begun what was sent to it after this multiple of the time that servers take of
     // late, and not before the least, may hang: its answer is put off by so much. A preference, no verdict.
--- a/tests/tier/placement/mechanisms_test.cpp
+++ b/tests/tier/placement/mechanisms_test.cpp
@@ -131,21 +131,6 @@
     EXPECT_EQ(at(off, "n1").decode, at(off, "n2").decode);
 }
 
-TEST_F(MechanismSwitches, WithoutMarginsTheTwoCheapestAreLeft) {
-    std::vector<ListedServer> many;
-    for (int i = 0; i < 6; ++i)
-        many.push_back({std::string("m").append(std::to_string(i)), "here", false, 0, 8});
-    const Request plain{7, {{9, 2000}}, {2000, 10}, 2000, 0};
-    const auto worth_it = [&](const std::vector<std::string>& without) {
-        Placement tried = placement(without, many);
-        for (const char* const busy : {"m0", "m1", "m2", "m3"})
-            tried.sent(next_send(), busy, {7, {{8, 40}}, {40, 1}, 10, 0}, kNow);
-        return tried.candidates(plain, kNow).size();
-    };
-    EXPECT_GT(worth_it({}), 2U);
-    EXPECT_EQ(worth_it({"margins"}), 2U);
-}
-
 TEST_F(MechanismSwitches, WithoutToldLoadOwnRequestsAloneCount) {
     Placement on = placement({}), off = placement({"told-load"});
     for (Placement* tried : {&on, &off}) {
