--- a/tools/lab/cloud.cpp
+++ b/tools/lab/cloud.cpp
@@ -54,6 +54,9 @@
     if (server.is_model) {
         ModelSettings settings = deployment.model;
         settings.slowness = deployment.speeds[index % deployment.speeds.size()];
+        const double memory = deployment.memories[index % deployment.memories.size()];
+        settings.memory_tokens =
+            static_cast<std::int64_t>(memory * static_cast<double>(settings.memory_tokens));
         server.model = std::make_unique<ModelServer>(settings);
     } else {
         server.tool = std::make_unique<ToolServer>(deployment.tool);
--- a/tools/lab/experiment.hpp
+++ b/tools/lab/experiment.hpp
@@ -34,7 +34,8 @@
     int event_tokens = 2;                         // in each event
     ModelSettings model;
     ToolSettings tool;
-    std::vector<double> speeds{1};  // slowness of model servers, which go round them
+    std::vector<double> speeds{1};    // slowness of model servers, which go round them
+    std::vector<double> memories{1};  // multiples of the model's memory, which model servers go round
 };
 
 struct ToolKind {
--- a/tools/lab/read_experiment.cpp
+++ b/tools/lab/read_experiment.cpp
@@ -71,18 +71,19 @@
     table.done();
 }
 
-void read_speeds(Table& table, Deployment& deployment) {
-    if (!table.has("speeds")) return;
-    deployment.speeds.clear();
-    for (const config::Value& item : table.items("speeds", 100)) {
+// Numbers that model servers go round.
+void read_multiples(Table& table, const char* key, const char* plain, std::vector<double>& multiples) {
+    if (!table.has(key)) return;
+    multiples.clear();
+    for (const config::Value& item : table.items(key, 100)) {
         const bool whole = item.type == config::Value::Type::integer;
         const double value = whole ? static_cast<double>(item.integer) : item.number;
         if ((!whole && item.type != config::Value::Type::number) || !kFactor.holds(value))
-            table.fault(item.at, "speeds", "has to hold numbers from 0.01 to 1000; 1 is the plain time");
+            table.fault(item.at, key, std::string("has to hold numbers from 0.01 to 1000; 1 is ") + plain);
         else
-            deployment.speeds.push_back(value);
+            multiples.push_back(value);
     }
-    if (deployment.speeds.empty()) deployment.speeds = {1};
+    if (multiples.empty()) multiples = {1};
 }
 
 void read_deployment(Table& root, Deployment& deployment) {
@@ -107,7 +108,8 @@
     table.number("event_bytes", deployment.event_bytes, {0, 1e6});
     table.number("tool_bytes", deployment.tool_bytes, {0, 1e9});
     table.count("event_tokens", deployment.event_tokens, {1, 1000});
-    read_speeds(table, deployment);
+    read_multiples(table, "speeds", "the plain time", deployment.speeds);
+    read_multiples(table, "memories", "the model's memory", deployment.memories);
     read_model(table.table("model"), deployment.model);
     Table tool = table.table("tool");
     tool.count("slots", deployment.tool.slots, {1, 10000});
