--- a/tests/tier/placement/placement_test.cpp
+++ b/tests/tier/placement/placement_test.cpp
@@ -319,6 +319,53 @@
     EXPECT_GE(homes.size(), 2U);
 }
 
+TEST(Placement, AFirstRequestWithNothingLearnedStaysInItsZone) {
+    World world;
+    std::vector<ListedServer> list = servers(4);
+    list[2].zone = list[3].zone = "there";
+    world.placement.set_servers(list, world.now);
+    const Names names = world.ask(prompt(1, 10));
+    ASSERT_EQ(names.size(), 2U);
+    EXPECT_EQ(std::set<std::string>(names.begin(), names.end()), (std::set<std::string>{"s1", "s2"}));
+}
+
+// Nine servers, released three at a time, each wave by three new ones: a line is served by one that stays,
+// and stays with it until that one is released itself.
+TEST(Placement, LinesOfServersThatAreReleasedInWavesMoveOnceForEachRelease) {
+    constexpr std::size_t kServers = 9, kWave = 3;
+    World world(kServers);
+    std::vector<ListedServer> list = servers(kServers);
+    Request turn = prompt(1, 1001);
+    turn.line = turn.program = 5;
+    std::string serving = world.ask(turn).front();
+    world.serve(serving, turn);
+    for (std::size_t wave = 0; wave < kServers / kWave; ++wave) {
+        std::set<std::string> draining;
+        for (std::size_t i = 0; i < kWave; ++i) {
+            list[wave * kWave + i].draining = true;
+            draining.insert(list[wave * kWave + i].id);
+        }
+        world.placement.set_servers(list, world.now);
+        for (int i = 0; i < 3; ++i) {
+            const Names names = world.ask(turn);
+            ASSERT_FALSE(names.empty());
+            for (const std::string& name : names) EXPECT_FALSE(draining.contains(name)) << name;
+            if (!draining.contains(serving)) {
+                EXPECT_EQ(names.front(), serving);
+            }
+            serving = names.front();
+            world.serve(serving, turn);
+        }
+        for (std::size_t i = 0; i < kWave; ++i) {
+            ListedServer& server = list[wave * kWave + i];
+            server.id.append("-new");
+            server.draining = false;
+        }
+        world.placement.set_servers(list, world.now);
+        EXPECT_EQ(world.ask(turn).front(), serving);
+    }
+}
+
 TEST(Placement, EventsOfWhatIsNotKnownHaveNoEffect) {
     World world;
     world.placement.sent(1, "nobody", prompt(1, 2), 0);
