--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -110,10 +110,8 @@
     Server* const server = find(server_id);
     if (!server) return;
     const Ask asked = ask(request, now);
-    // What others share is held once.
     Send send;
     send.server = server_id;
-    send.tokens = asked.prompt - asked.shared + request.tokens.most_out;
     send.at = now;
     send.unread = std::max<std::int64_t>(0, asked.prompt - server->kept.kept(asked.parts));
     for (const PromptPart& part : asked.parts)
@@ -123,7 +121,6 @@
     ++server->out;
     ++own_[key_of(*server)];
     server->unbegun.push_back(now);
-    server->tokens += send.tokens;
     server->unread += send.unread;
     // Of a memory that others use too, ours may be pushed out sooner. It is believed to be there all the
     // same: where it is not it is read anew, as it would be at any other server.
@@ -175,7 +172,6 @@
     if (ran) {
         lasted_.add(now - send.at, now, settings_.traffic_memory_ms);
         lasts_.add(1, now, settings_.traffic_memory_ms);
-        tokens_.add(static_cast<double>(send.tokens), now, settings_.traffic_memory_ms);
     }
     Server* const server = find(send.server);
     if (!server) return;
@@ -187,7 +183,6 @@
 
 void Placement::release(Server& server, const Send& send) {
     server.out = std::max(0, server.out - 1);
-    server.tokens = std::max<std::int64_t>(0, server.tokens - send.tokens);
     server.unread = std::max<std::int64_t>(0, server.unread - send.unread);
 }
 
@@ -388,7 +383,6 @@
         e.prefill *= 1 + cold, e.decode *= 1 + cold;
     }
     if (mechanisms.queue) e.queue = queue_ms(server, busy);
-    if (mechanisms.memory) e.memory = memory_ms(server, ask, others);
     if (!is_near(server) && mechanisms.crossing)
         e.crossing = settings_.crossing_ms +
                      settings_.crossing_ms_per_kilobyte * static_cast<double>(ask.request.bytes) / 1000;
@@ -418,17 +412,6 @@
     return (busy - slots + 1) * mean / slots;
 }
 
-// Where memory runs out somebody is preempted and read anew: as bad as an answer's time, for the share of it
-// that is wanting.
-Millis Placement::memory_ms(const Server& server, const Ask& ask, double others) const {
-    const double mean_tokens = lasts_.value > 0 ? tokens_.value / lasts_.value : 0;
-    const auto own = static_cast<double>(ask.prompt + ask.request.tokens.most_out);
-    const double wanted = static_cast<double>(server.tokens) + others * mean_tokens + own;
-    const double over = wanted - static_cast<double>(settings_.memory_tokens);
-    if (over <= 0 || own <= 0) return 0;
-    return std::min(1.0, over / own) * idle_ms(ask.request);
-}
-
 Millis Placement::strayed_ms(const Server& server, const Ask& ask, std::int64_t kept) const {
     Millis cost = 0;
     if (!is_holder(server, ask))
--- a/src/placement/placement.hpp
+++ b/src/placement/placement.hpp
@@ -103,14 +103,13 @@
     Millis prefill = 0;             // of what it does not keep, behind what we have sent it to read
     Millis decode = 0;              // of the most out, beside what else runs there
     Millis queue = 0;               // until a slot is free
-    Millis memory = 0;              // for what may be preempted
     Millis crossing = 0;
     Millis silence = 0;  // for what has waited there for its first token for too long
     Millis strayed = 0;  // beyond those that share its start, or away from its line's home
     // By what it keeps, and what a line's home is taken to keep, less crossing; in no sum.
     Millis saved = 0;
     Millis due = 0;  // of the reading, what is owed once by those that share its start
-    Millis total() const { return prefill + decode + queue + memory + crossing + silence + strayed - due; }
+    Millis total() const { return prefill + decode + queue + crossing + silence + strayed - due; }
 };
 
 // A shared beginning as other processes have seen it.
@@ -180,7 +179,6 @@
         Millis listed_at = 0;
         KeptParts kept;
         int out = 0;                  // our requests there
-        std::int64_t tokens = 0;      // of them
         std::int64_t unread = 0;      // of their prompts, not known to be read
         int told_slots = 0;           // by its load; 0: not told
         double others = 0;            // requests that are not ours
@@ -190,7 +188,7 @@
     struct Send {
         std::string server;
         std::uint32_t server_key = 0;
-        std::int64_t tokens = 0, unread = 0;
+        std::int64_t unread = 0;
         std::vector<std::uint64_t> fresh;  // parts not known to be kept before
         Millis at = 0;
         bool begun = false;
@@ -208,7 +206,6 @@
     double others_at(const Server& server, double mean, Millis now) const;
     Estimate estimate(const Server& server, const Ask& ask, Millis now) const;
     Millis queue_ms(const Server& server, double busy) const;
-    Millis memory_ms(const Server& server, const Ask& ask, double others) const;
     Millis strayed_ms(const Server& server, const Ask& ask, std::int64_t kept) const;
     Ask ask(const Request& request, Millis now) const;
     struct Takers {
@@ -243,7 +240,7 @@
     StartRates starts_;                               // of what came through here
     std::unordered_map<std::uint64_t, double> told_;  // shares, by id
     FadingSum others_, loads_;                        // of servers, as of the loads seen, and how many
-    FadingSum lasted_, lasts_, tokens_;               // of what has ended: time, number, tokens
+    FadingSum lasted_, lasts_;                        // of what has ended: time, number
     FadingSum waited_, waits_;                        // for first tokens: time, number
 };
 
