--- a/src/data_plane/service_pools.hpp
+++ b/src/data_plane/service_pools.hpp
@@ -30,9 +30,9 @@
         std::string zone;                          // of this process; servers there are preferred
         std::uint64_t seed = 0;                    // of the choices
         placement::AdmissionSettings admission{};  // of programs, to model servers
-        placement::Mechanisms mechanisms{};        // of the choice of a model server
         // How many connections each server of a pool may have from here; 0: any number. Empty: not wanted.
         std::function<void(PoolId, std::size_t)> limit_connections{};
+        placement::Mechanisms mechanisms{};  // of the choice of a model server
     };
     ServicePools(Engine& engine, Transport& transport, Options options);
 
