--- a/src/data_plane/proxy.cpp
+++ b/src/data_plane/proxy.cpp
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include "io/address.hpp"
+#include "placement/mechanisms.hpp"
 
 namespace whinledge::data_plane {
 
@@ -103,6 +104,12 @@
     storage_plane::TurnClient& client_;
 };
 
+std::optional<std::string> Proxy::fault(const node::Settings& settings) {
+    const auto mechanisms = placement::all_without(settings.decide_without);
+    if (mechanisms) return std::nullopt;
+    return "'decisions.without': " + mechanisms.error().message;
+}
+
 Proxy::Proxy(asio::io_context& io, const node::Settings& settings)
     : io_(io),
       settings_(settings),
--- a/src/data_plane/proxy.hpp
+++ b/src/data_plane/proxy.hpp
@@ -33,6 +33,9 @@
 
 class Proxy {
 public:
+    // What no proxy can be run with, by key and remedy. Empty: nothing.
+    static std::optional<std::string> fault(const node::Settings& settings);
+
     // Listens at once; throws where an address can't be had.
     Proxy(boost::asio::io_context& io, const node::Settings& settings);
 
--- a/src/programs/proxy_main.cpp
+++ b/src/programs/proxy_main.cpp
@@ -4,7 +4,6 @@
 #include <utility>
 
 #include "data_plane/proxy.hpp"
-#include "placement/mechanisms.hpp"
 #include "programs/hosted_service.hpp"
 
 namespace {
@@ -24,17 +23,12 @@
     whinledge::data_plane::Proxy proxy_;
 };
 
-std::optional<std::string> fault(const node::Settings& settings) {
-    const auto mechanisms = whinledge::placement::all_without(settings.decide_without);
-    if (mechanisms) return std::nullopt;
-    return "'decisions.without': " + mechanisms.error().message;
-}
-
 }  // namespace
 
 int main(int argc, char** argv) {
     return whinledge::programs::run_daemon(
         argc, argv,
         {"whinledge-proxy", "Sends clients' requests to the servers of their services.",
-         [](auto& io, const auto& settings) { return std::make_unique<HostedProxy>(io, settings); }, fault});
+         [](auto& io, const auto& settings) { return std::make_unique<HostedProxy>(io, settings); },
+         whinledge::data_plane::Proxy::fault});
 }
