--- a/tests/integration/program_test.cpp
+++ b/tests/integration/program_test.cpp
@@ -1,4 +1,5 @@
 // The configuration, and the program as the platform starts and ends it.
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -60,16 +61,25 @@
 }
 
 struct Program : testing::Test {
+    pid_t running = -1;
     std::filesystem::path folder =
         std::filesystem::temp_directory_path() / ("whinledge-test-" + std::to_string(::getpid()));
     Program() { std::filesystem::create_directories(folder); }
-    ~Program() override { std::filesystem::remove_all(folder); }
+    // A program that outlives its test holds ctest's pipe, and ctest waits for it for ever.
+    ~Program() override {
+        if (running > 0) {
+            ::kill(running, SIGKILL);
+            ::waitpid(running, nullptr, 0);
+        }
+        std::filesystem::remove_all(folder);
+    }
 
     // Starts the program with its log in a file.
     pid_t start(const std::string& config) {
         std::ofstream(folder / "config.json") << config;
-        const pid_t child = ::fork();
-        if (child != 0) return child;
+        running = ::fork();
+        if (running != 0) return running;
+        ::prctl(PR_SET_PDEATHSIG, SIGKILL);
         ::setenv("LB_CONFIG", (folder / "config.json").c_str(), 1);
         if (!std::freopen((folder / "log").c_str(), "w", stderr)) ::_exit(126);
         ::execl(WHINLEDGE, WHINLEDGE, static_cast<char*>(nullptr));
@@ -86,9 +96,10 @@
             }
         });
     }
-    static int status_of(pid_t child) {
+    int status_of(pid_t child) {
         int status = 0;
         ::waitpid(child, &status, 0);
+        if (child == running) running = -1;
         return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
     }
 };
