One flag for Priority in the lab, shared servers of placement's tests, the last hard case

Cause: a read of the change: the lab's arms had urgency twice; the mechanisms' texts stood in the source unused and on the operators' page; three tests built the same servers; an engine that is fast with short prompts alone and switching over a configuration had no test.

--- a/src/placement/mechanisms.cpp
+++ b/src/placement/mechanisms.cpp
@@ -12,7 +12,7 @@
 };
 
 constexpr Named kNamed[] = {
-#define WHINLEDGE_MECHANISM(member, name, text) {name, &Mechanisms::member},
+#define WHINLEDGE_MECHANISM(member, name) {name, &Mechanisms::member},
 #include "placement/mechanisms.def"
 #undef WHINLEDGE_MECHANISM
 };
--- a/src/placement/mechanisms.hpp
+++ b/src/placement/mechanisms.hpp
@@ -9,7 +9,7 @@
 namespace whinledge::placement {
 
 struct Mechanisms {
-#define WHINLEDGE_MECHANISM(member, name, text) bool member = true;
+#define WHINLEDGE_MECHANISM(member, name) bool member = true;
 #include "placement/mechanisms.def"
 #undef WHINLEDGE_MECHANISM
     bool operator==(const Mechanisms&) const = default;
--- a/tests/tier/data_plane/service_pools_test.cpp
+++ b/tests/tier/data_plane/service_pools_test.cpp
@@ -287,6 +287,24 @@
     EXPECT_FALSE(pools.candidates("models", session("x")).empty());
 }
 
+TEST_F(ServicePoolsTest, MechanismsStayOffOverAConfigurationAndWhatIsKnownStays) {
+    const auto first = pools.candidates("models", session("x"));
+    ASSERT_FALSE(first.empty());
+    pools.sent("models", 1, first.back(), session("x"));
+    pools.first_event(1);
+    const auto keeping = pools.candidates("models", session("x"));
+    ASSERT_FALSE(keeping.empty());
+    EXPECT_EQ(keeping.front(), first.back()) << "it keeps the prompt";
+    placement::Mechanisms off;
+    off.candidates = false;
+    pools.set_mechanisms(off);
+    EXPECT_TRUE(pools.candidates("models", session("x")).empty());
+    pools.configure(*serving::parse_configuration(kConfiguration).value());
+    EXPECT_TRUE(pools.candidates("models", session("x")).empty());
+    pools.set_mechanisms({});
+    EXPECT_EQ(pools.candidates("models", session("x")), keeping);
+}
+
 TEST_F(ServicePoolsTest, ToolsHaveNoCandidates) {
     EXPECT_TRUE(pools.candidates("tools", session("x")).empty());
 }
--- a/tests/tier/lab/experiment_test.cpp
+++ b/tests/tier/lab/experiment_test.cpp
@@ -53,7 +53,7 @@
     ASSERT_EQ(read_one.troubles.size(), 1U);
     EXPECT_EQ(read_one.troubles[0].kind, TroubleKind::hang);
     EXPECT_EQ(read_one.troubles[0].at, 2500);
-    EXPECT_TRUE(read_one.arms[0].urgency);
+    EXPECT_TRUE(read_one.arms[0].mechanisms.urgency);
 }
 
 TEST(LabExperiment, AnArmLeavesOutMechanisms) {
--- a/tests/tier/lab/hard_cases_test.cpp
+++ b/tests/tier/lab/hard_cases_test.cpp
@@ -86,6 +86,12 @@
     expect_no_worse_than_plain(experiment);
 }
 
+TEST(HardCases, AnEngineThatIsFastWithShortPromptsAlone) {
+    Experiment experiment = small_experiment();
+    experiment.deployment.readings = {1, 1, 0.1};
+    expect_no_worse_than_plain(experiment);
+}
+
 TEST(HardCases, TwoHundredKindsOfSharedPartsThatDoNotFit) {
     Experiment experiment = small_experiment();
     experiment.deployment.model.memory_tokens = 60000;
--- a/tests/tier/lab/urgent_burst_test.cpp
+++ b/tests/tier/lab/urgent_burst_test.cpp
@@ -88,7 +88,7 @@
 // attempt at a server too.
 Played play(const Case& of) {
     Arm arm = lab::arm("all");
-    arm.urgency = of.by_urgency;
+    arm.mechanisms.urgency = of.by_urgency;
     LabClients clients(full_pool(of.servers), arm, of.seed);
     for (std::size_t i = 0; i < kLong; ++i) clients.ask_at(static_cast<Millis>(i), i % 3, long_one(i));
     for (std::size_t i = 0; of.has_burst && i < kBurst; ++i)
--- a/tests/tier/placement/mechanisms_test.cpp
+++ b/tests/tier/placement/mechanisms_test.cpp
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "listed_servers.hpp"
 #include "placement/placement.hpp"
 
 namespace whinledge::placement {
@@ -21,13 +22,6 @@
     return settings;
 }
 
-std::vector<ListedServer> servers() {
-    return {{"n1", "here", false, 0, 8},
-            {"n2", "here", false, 0, 8},
-            {"f1", "there", false, 0, 8},
-            {"f2", "there", false, 0, 8}};
-}
-
 Request turn() {
     Request request{7, {{1, 1500}, {2, 500}}, {2000, 100}, 2000, 0};
     request.line = request.program = 5;
@@ -37,16 +31,13 @@
 class MechanismSwitches : public ::testing::Test {
 protected:
     static Placement placement(const std::vector<std::string>& without,
-                               std::vector<ListedServer> list = servers()) {
+                               std::vector<ListedServer> list = listed_in_two_zones(2, 2)) {
         Placement made(settings_without(without));
         made.set_servers(list, kNow);
         return made;
     }
     static Estimate at(const Placement& placement, const std::string& server, Millis now = kNow) {
-        for (const Estimate& e : placement.estimates(turn(), now))
-            if (e.server == server) return e;
-        ADD_FAILURE() << server << " takes nothing";
-        return {};
+        return estimate_at(placement, server, turn(), now);
     }
     // Many requests at one server, none of which has begun.
     static void crowd(Placement& placement, const std::string& server, int requests) {
@@ -96,9 +87,7 @@
 }
 
 TEST_F(MechanismSwitches, WithoutHoldersAnyMayReadASharedStart) {
-    std::vector<ListedServer> many;
-    for (int i = 0; i < 12; ++i)
-        many.push_back({std::string("m").append(std::to_string(i)), "here", false, 0, 8});
+    const std::vector<ListedServer> many = listed_servers("m", 12, "here");
     const auto strayed = [&](const Placement& tried) {
         const auto all = tried.estimates({7, {{1, 1500}, {2, 500}}, {2000, 100}, 2000, 0}, kNow);
         return std::count_if(all.begin(), all.end(), [](const Estimate& e) { return e.strayed > 0; });
--- a/tests/tier/placement/placement_test.cpp
+++ b/tests/tier/placement/placement_test.cpp
@@ -6,17 +6,14 @@
 #include <algorithm>
 #include <set>
 
+#include "listed_servers.hpp"
+
 namespace whinledge::placement {
 namespace {
 
 using Names = std::vector<std::string>;
 
-std::vector<ListedServer> servers(int count) {
-    std::vector<ListedServer> all;
-    for (int i = 1; i <= count; ++i)
-        all.push_back({std::string("s").append(std::to_string(i)), "here", false, 0, 8});
-    return all;
-}
+std::vector<ListedServer> servers(int count) { return listed_servers("s", count, "here"); }
 
 Settings plain() {
     Settings s;
@@ -48,10 +45,7 @@
         placement.ended(id, true, now += 300);
     }
     Estimate at(const std::string& server, const Request& request) const {
-        for (const Estimate& e : placement.estimates(request, now))
-            if (e.server == server) return e;
-        ADD_FAILURE() << server << " takes nothing";
-        return {};
+        return estimate_at(placement, server, request, now);
     }
     Names ask(const Request& request) { return placement.candidates(request, now); }
 };
--- a/tests/tier/placement/told_loads_test.cpp
+++ b/tests/tier/placement/told_loads_test.cpp
@@ -5,6 +5,7 @@
 #include <set>
 #include <string>
 
+#include "listed_servers.hpp"
 #include "placement/placement.hpp"
 
 namespace whinledge::placement {
@@ -16,15 +17,6 @@
 
 std::uint32_t key(const std::string& server) { return static_cast<std::uint32_t>(name_hash(server)); }
 
-std::vector<ListedServer> servers(int near, int far) {
-    std::vector<ListedServer> all;
-    for (int i = 1; i <= near; ++i)
-        all.push_back({std::string("n").append(std::to_string(i)), "here", false, 0, 8});
-    for (int i = 1; i <= far; ++i)
-        all.push_back({std::string("f").append(std::to_string(i)), "there", false, 0, 8});
-    return all;
-}
-
 Settings settings() {
     Settings s;
     s.zone = "here";
@@ -33,12 +25,9 @@
 
 struct World {
     Placement placement{settings()};
-    explicit World(int near = 4, int far = 0) { placement.set_servers(servers(near, far), kNow); }
+    explicit World(int near = 4, int far = 0) { placement.set_servers(listed_in_two_zones(near, far), kNow); }
     Estimate at(const std::string& server, Millis now = kNow) const {
-        for (const Estimate& e : placement.estimates(request(), now))
-            if (e.server == server) return e;
-        ADD_FAILURE() << server << " takes nothing";
-        return {};
+        return estimate_at(placement, server, request(), now);
     }
     static Request request() { return {7, {{1, 1500}, {2, 500}}, {2000, 100}, 2000, 0}; }
     void tell(const std::string& server, int requests, Millis age, Millis now) {
@@ -186,7 +175,7 @@
 TEST(ToldLoads, OwnRequestsAtAServerThatIsGoneEndWithThem) {
     World world;
     world.placement.sent(1, "n1", World::request(), kNow);
-    world.placement.set_servers(servers(0, 2), kNow);
+    world.placement.set_servers(listed_in_two_zones(0, 2), kNow);
     EXPECT_EQ(world.placement.own_requests().size(), 1U);
     world.placement.ended(1, true, kNow + 5);
     world.placement.ended(1, true, kNow + 6);
--- a/tools/lab/cloud.cpp
+++ b/tools/lab/cloud.cpp
@@ -57,6 +57,7 @@
         const double memory = deployment.memories[index % deployment.memories.size()];
         settings.memory_tokens =
             static_cast<std::int64_t>(memory * static_cast<double>(settings.memory_tokens));
+        settings.prefill_tokens_per_ms *= deployment.readings[index % deployment.readings.size()];
         server.model = std::make_unique<ModelServer>(settings);
     } else {
         server.tool = std::make_unique<ToolServer>(deployment.tool);
--- a/tools/lab/experiment.hpp
+++ b/tools/lab/experiment.hpp
@@ -36,6 +36,7 @@
     ToolSettings tool;
     std::vector<double> speeds{1};    // slowness of model servers, which go round them
     std::vector<double> memories{1};  // multiples of the model's memory, which model servers go round
+    std::vector<double> readings{1};  // and of the tokens of prompts that are read in a millisecond
 };
 
 struct ToolKind {
@@ -100,7 +101,6 @@
     Choice choice = Choice::prefix;
     bool kept_prefix = true;  // placement is told of prompts' parts and of lines
     bool told_load = true;    // `Server-Load`
-    bool urgency = true;      // `Priority`
     bool zones = true;        // the own zone is preferred
     placement::Mechanisms mechanisms{};
     bool shared_loads = false;     // proxies tell with their turns what they have under way (simulated alone)
--- a/tools/lab/live_trial.cpp
+++ b/tools/lab/live_trial.cpp
@@ -114,7 +114,7 @@
           servers_shared_(experiment, world_, timeline_, measures_, seed),
           agents_(experiment, timeline_, measures_, seed) {
         servers_shared_.tells_load = arm.told_load;
-        servers_shared_.heeds_priority = arm.urgency;
+        servers_shared_.heeds_priority = arm.mechanisms.urgency;
         tier_rig::Platform::Options platform;
         platform.delay = experiment.deployment.list_delay_ms;
         platform.page_size = kPageSize;
--- a/tools/lab/proxy.cpp
+++ b/tools/lab/proxy.cpp
@@ -203,7 +203,7 @@
 
 int Proxy::priority(const ClientRequest& request) {
     const Millis needs = pools_->idle_ms(kModels, request.prompt);
-    if (!arm_.urgency || !arm_.mechanisms.urgency || needs <= 0) return placement::kPlainPriority;
+    if (!arm_.mechanisms.urgency || needs <= 0) return placement::kPlainPriority;
     placement::UrgencyFacts facts;
     facts.rank = request.rank;
     facts.finish_ms = request.finish_ms;
--- a/tools/lab/read_experiment.cpp
+++ b/tools/lab/read_experiment.cpp
@@ -110,6 +110,7 @@
     table.count("event_tokens", deployment.event_tokens, {1, 1000});
     read_multiples(table, "speeds", "the plain time", deployment.speeds);
     read_multiples(table, "memories", "the model's memory", deployment.memories);
+    read_multiples(table, "readings", "the model's rate", deployment.readings);
     read_model(table.table("model"), deployment.model);
     Table tool = table.table("tool");
     tool.count("slots", deployment.tool.slots, {1, 10000});
@@ -240,11 +241,11 @@
                    {{"prefix", Choice::prefix}, {"plain", Choice::plain}, {"random", Choice::random}});
         table.read("kept_prefix", arm.kept_prefix);
         table.read("told_load", arm.told_load);
-        table.read("urgency", arm.urgency);
         table.read("zones", arm.zones);
         table.read("shared_loads", arm.shared_loads);
         table.read("shared_openings", arm.shared_openings);
         read_mechanisms(table, arm);
+        table.read("urgency", arm.mechanisms.urgency);
         table.done();
         experiment.arms.push_back(std::move(arm));
     }
