Log: lines go to a thread of their own, and what holds up the loop is named

Change: LogWriter, a bounded queue (64 KB) with one thread; what does not fit or can't be written is counted and told; last lines are out at exit and after a fatal signal. glog and the sidecar's log both go there; log.level, log.file, log.queueKb with checks at start. LoopWatch times each handler by Asio's tracking hooks and names those over 100 ms.

--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -78,6 +78,7 @@
     const Runner runner = make(io);
     on_hangup(hangups, runner);
     on_end(signals, io, runner);
+    const whinledge::LoopWatch watch([&](const std::string& line) { runner.log->line(line); });
     while (!io.stopped()) try {
             io.run();
         } catch (const std::exception& error) {  // what one connection threw does not end the others
--- a/src/control_plane/control_process.cpp
+++ b/src/control_plane/control_process.cpp
@@ -13,6 +13,7 @@
 
 #include "feed/watch.hpp"
 #include "io/address.hpp"
+#include "io/loop_watch.hpp"
 #include "storage_map/ledger_placement.hpp"
 
 namespace whinledge::control_plane {
@@ -108,6 +109,13 @@
 // To two places, for people.
 double rounded(double figure) { return std::round(figure * 100) / 100; }
 
+// Of the loop of this process; null: it has no watch.
+Json loop_fields() {
+    const LoopWatch* const watch = LoopWatch::current();
+    if (!watch) return nullptr;
+    return {{"stalls", watch->stalls()}, {"longestMs", watch->longest().count()}};
+}
+
 // Of a row of the page of replicas; null where the process has not been heard of, or does not tell.
 Json progress_fields(const Heard* heard, Instant at) {
     Json fields{{"heardMsAgo", nullptr}};
@@ -493,6 +501,7 @@
          {"storageEpoch", state.storage.epoch},
          {"list", {{"term", list.term}, {"sequence", list.sequence}, {"alive", list_reader_.alive()}}},
          {"watchers", watches_.waiting()},
+         {"loop", loop_fields()},
          {"counters", counters()}});
 }
 
--- a/src/io/log.cpp
+++ b/src/io/log.cpp
@@ -1,7 +1,6 @@
 #include "io/log.hpp"
 
 #include <algorithm>
-#include <cerrno>
 #include <chrono>
 #include <string>
 #include <utility>
@@ -31,7 +30,7 @@
     return std::chrono::duration<Millis, std::milli>(since).count();
 }
 
-Log::Log(int descriptor, Now now) : descriptor_(descriptor), now_(std::move(now)) {}
+Log::Log(LogWriter& writer, Now now) : writer_(writer), now_(std::move(now)) {}
 
 Log::~Log() { tell_left_out(limit_.left_out()); }
 
@@ -47,14 +46,13 @@
         write_line("... " + std::to_string(count) + (count == 1 ? " line" : " lines") + " left out");
 }
 
-// In one write, so that no other's line comes between. A name from elsewhere must not pass for a line.
+// A name from elsewhere must not pass for a line.
 void Log::write_line(std::string_view text) const {
     std::string whole = "whinledge: ";
     for (const char c : text.substr(0, kLongest))
         whole += static_cast<unsigned char>(c) < ' ' || c == 127 ? '?' : c;
     whole += '\n';
-    while (::write(descriptor_, whole.data(), whole.size()) < 0 && errno == EINTR) {
-    }
+    writer_.write(std::move(whole));
 }
 
 }  // namespace whinledge
--- a/src/io/log.hpp
+++ b/src/io/log.hpp
@@ -1,14 +1,13 @@
-// The sidecar's log: whole lines on standard error, and no more of them than help.
+// The sidecar's log: whole lines, by default on standard error, and no more of them than help.
 #pragma once
 
-#include <unistd.h>
-
 #include <cstddef>
 #include <functional>
 #include <optional>
 #include <string_view>
 
 #include "engine/types.hpp"
+#include "io/log_writer.hpp"
 
 namespace whinledge {
 
@@ -32,7 +31,7 @@
     using Now = std::function<Millis()>;
     static Millis steady_now();
 
-    explicit Log(int descriptor = STDERR_FILENO, Now now = steady_now);
+    explicit Log(LogWriter& writer = LogWriter::of_process(), Now now = steady_now);
     ~Log();  // tells of what was left out last
     Log(const Log&) = delete;
     Log& operator=(const Log&) = delete;
@@ -43,7 +42,7 @@
     void tell_left_out(std::size_t count) const;
     void write_line(std::string_view text) const;
 
-    int descriptor_;
+    LogWriter& writer_;
     Now now_;
     LogLimit limit_;
 };
--- a/src/programs/hosted_service.cpp
+++ b/src/programs/hosted_service.cpp
@@ -13,6 +13,8 @@
 #include <vector>
 
 #include "io/loop_timer.hpp"
+#include "io/loop_watch.hpp"
+#include "programs/daemon_log.hpp"
 #include "programs/settings_watch.hpp"
 
 namespace whinledge::programs {
@@ -46,6 +48,7 @@
 }
 
 std::optional<std::string> fault_of(const Daemon& daemon, const node::Settings& settings) {
+    if (auto fault = log_fault(settings)) return fault;
     return daemon.fault ? daemon.fault(settings) : std::nullopt;
 }
 
@@ -56,6 +59,7 @@
     Host(const Daemon& daemon, std::string path, std::vector<std::string> overrides,
          const node::Settings& settings)
         : daemon_(daemon),
+          log_(begin_log(settings)),
           path_(std::move(path)),
           overrides_(std::move(overrides)),
           ends_(io_, SIGTERM, SIGINT),
@@ -71,13 +75,14 @@
         await_hangup();
         look();
         io_.run();
-        LOG(INFO) << "ends: " << service_->counters();
+        LOG(INFO) << "ends: " << counters();
     }
 
 private:
     void await_hangup() {
         hangups_.async_wait([this](boost::system::error_code failed, int) {
             if (failed) return;
+            log_.reopen();
             read_again();
             await_hangup();
         });
@@ -91,10 +96,17 @@
         });
     }
 
+    std::string counters() const {
+        std::string line = service_->counters();
+        if (const std::string loop = loop_.counters(); !loop.empty()) line += "; " + loop;
+        if (log_.lost() > 0) line += "; log: lost=" + std::to_string(log_.lost());
+        return line;
+    }
+
     void tell_counters() {
-        std::string counters = service_->counters();
-        if (counters == told_) return;
-        told_ = std::move(counters);
+        std::string line = counters();
+        if (line == told_) return;
+        told_ = std::move(line);
         LOG(INFO) << told_;
     }
 
@@ -108,11 +120,14 @@
             LOG(ERROR) << "the settings before stay in force: " << *fault;
             return;
         }
+        set_log_level(changed.value());
         service_->change(changed.value());
         LOG(INFO) << "the settings were read again";
     }
 
     const Daemon& daemon_;
+    LogWriter& log_;
+    LoopWatch loop_{[](const std::string& line) { LOG(WARNING) << line; }};
     std::string path_;
     std::vector<std::string> overrides_;  // of the settings in the file
     boost::asio::io_context io_{1};
@@ -154,7 +169,7 @@
 }  // namespace
 
 int run_daemon(int argc, char** argv, const Daemon& daemon) {
-    FLAGS_logtostderr = true;
+    FLAGS_logtostderr = true;  // until the settings are known
     google::InitGoogleLogging(argv[0]);
     std::signal(SIGPIPE, SIG_IGN);
     try {
--- a/tests/integration/log_test.cpp
+++ b/tests/integration/log_test.cpp
@@ -41,7 +41,14 @@
 struct LogTest : testing::Test {
     Writes writes;
     Millis now = 5e7;
-    std::optional<Log> log{std::in_place, writes.descriptor(), [this] { return now; }};
+    LogWriter writer{log_to_descriptor(writes.descriptor())};
+    std::optional<Log> log{std::in_place, writer, [this] { return now; }};
+
+    // What has been written since it was last asked.
+    std::vector<std::string> written() {
+        EXPECT_TRUE(writer.flush(std::chrono::seconds(10)));
+        return writes.read();
+    }
 };
 
 TEST(LogLimit, KeepsItsRateWhateverComes) {
@@ -72,9 +79,9 @@
     log->line("a name with\na line in it\x1b");
     const std::vector<std::string> expected{"whinledge: one\n", "whinledge: \n",
                                             "whinledge: a name with?a line in it?\n"};
-    EXPECT_EQ(writes.read(), expected);
+    EXPECT_EQ(written(), expected);
     log->line(std::string(1 << 20, 'x'));
-    const auto cut = writes.read();
+    const auto cut = written();
     ASSERT_EQ(cut.size(), 1u);
     EXPECT_LE(cut[0].size(), 4096u);
     EXPECT_EQ(cut[0].back(), '\n');
@@ -82,20 +89,20 @@
 
 TEST_F(LogTest, WhatIsLeftOutIsCounted) {
     for (int i = 0; i < 3800; ++i) log->line("again");
-    EXPECT_EQ(writes.read().size(), 20u);
+    EXPECT_EQ(written().size(), 20u);
     now += 1000;
     log->line("later");
     const std::vector<std::string> expected{"whinledge: ... 3780 lines left out\n", "whinledge: later\n"};
-    EXPECT_EQ(writes.read(), expected);
+    EXPECT_EQ(written(), expected);
     log->line("more");
     log.reset();
-    EXPECT_EQ(writes.read(), std::vector<std::string>{"whinledge: ... 1 line left out\n"});
+    EXPECT_EQ(written(), std::vector<std::string>{"whinledge: ... 1 line left out\n"});
 }
 
 TEST_F(LogTest, WhereNothingIsLeftOutNothingIsSaidOfIt) {
     log->line("one");
     log.reset();
-    EXPECT_EQ(writes.read().size(), 1u);
+    EXPECT_EQ(written().size(), 1u);
 }
 
 // Datagrams that are no peer's, messages that are not sent, answers that can't be read and a discovery that
@@ -111,7 +118,7 @@
         peer.send_to(asio::buffer("good", 4), peers.address());
         run_until(io, [&] { return good == round; });
     }
-    EXPECT_EQ(writes.read().size(), 20u);
+    EXPECT_EQ(written().size(), 20u);
     peers.tell(7, {1});
     ScriptedServer server(io, [](const auto&) { return Reply{"no HTTP\r\n\r\n", true}; });
     Upstream upstream(io, *log, {});
@@ -124,10 +131,10 @@
     Discovery discovery(io, *log, server.endpoint(), 1, false, {[](auto) {}, [&] { ++failed; }});
     discovery.fetch();
     run_until(io, [&] { return ended && failed == 1; });
-    EXPECT_TRUE(writes.read().empty());
+    EXPECT_TRUE(written().empty());
     now += 1000;
     peers.tell(7, {1});
-    const auto after = writes.read();
+    const auto after = written();
     ASSERT_EQ(after.size(), 2u);
     EXPECT_EQ(after[0], "whinledge: ... 5983 lines left out\n");  // 5980 datagrams and one of each other kind
 }
--- a/tests/rig/service_rig.hpp
+++ b/tests/rig/service_rig.hpp
@@ -67,7 +67,8 @@
     ScriptedServer a{io, echo}, b{io, echo}, c{io, echo};
     // The log's lines, in memory.
     const int log_file = ::memfd_create("log", 0);
-    Log log{log_file};
+    LogWriter log_writer{log_to_descriptor(log_file)};
+    Log log{log_writer};
     TestTime time;  // of clients' connections, once set_clock() has said so
     const TimeSource* clock = &Door::steady();
     std::optional<Daemon> daemon;
@@ -159,7 +160,8 @@
         return "POST " + target + " HTTP/1.1\r\nHost: www.example.org\r\n" + headers +
                "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
     }
-    std::string logged() const {
+    std::string logged() {
+        EXPECT_TRUE(log_writer.flush(std::chrono::seconds(10)));
         std::string text(static_cast<std::size_t>(::lseek(log_file, 0, SEEK_END)), '\0');
         const ssize_t size = ::pread(log_file, text.data(), text.size(), 0);
         return text.substr(0, static_cast<std::size_t>(std::max<ssize_t>(0, size)));
