--- a/src/data_plane/exchange.hpp
+++ b/src/data_plane/exchange.hpp
@@ -106,6 +106,7 @@
     bool waits_for_unknown_length() const override { return !streams(); }
     bool head_only() const override;
     bool begins_when_whole() const override { return false; }
+    std::optional<Millis> answer_time_left() const override { return time_left(); }
     bool may_start(std::uint32_t attempt) const noexcept override;
     std::shared_ptr<Stream> pass_on(Upstream::Response answer, std::optional<std::uint64_t> length) override;
     void served(std::unique_ptr<Answer> answer) noexcept override;
--- a/src/data_plane/ingress.cpp
+++ b/src/data_plane/ingress.cpp
@@ -313,7 +313,7 @@
           [this](Places::Id place, Door::Tcp::socket socket) {
               return std::make_shared<Client>(*this, place, std::move(socket));
           },
-          std::move(drained), [](const std::string& line) { LOG(WARNING) << line; }) {}
+          std::move(drained), [](const std::string& line) { LOG(WARNING) << line; }, {}, *options.clock) {}
 
 void Ingress::configured() {
     for (const auto& waiting : std::exchange(unrouted_, {}))
--- a/src/data_plane/ingress.hpp
+++ b/src/data_plane/ingress.hpp
@@ -18,7 +18,8 @@
 public:
     struct Options {
         Door::Listen listen;
-        std::size_t places = 1000;  // connections at once
+        std::size_t places = 1000;                  // connections at once
+        const TimeSource* clock = &Door::steady();  // of connections' limits
     };
     struct Counters {
         std::uint64_t no_configuration = 0, no_route = 0, rejected = 0;
--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -3,6 +3,7 @@
 
 #include <netinet/tcp.h>
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/post.hpp>
 #include <exception>
@@ -15,6 +16,13 @@
 namespace asio = boost::asio;
 using boost::system::error_code;
 
+namespace {
+
+// Of an answer whose time is over, and that has gone on coming until then.
+constexpr Millis kLastPause = 100;
+
+}  // namespace
+
 void Upstream::Connection::connect(const Tcp::endpoint& address) {
     const Millis longest = exchange_->request.connect_timeout;
     timer_.expires_after(span(longest > 0 ? longest : owner_->limits_.connect_timeout));
@@ -84,10 +92,25 @@
     return ran;
 }
 
-bool Upstream::Connection::stalled(std::chrono::steady_clock::time_point now) const {
+bool Upstream::Connection::is_waited_for() const {
     if (!exchange_ || !exchange_->request.judge || (!out_stream_ && written_)) return false;
     const bool ours = out_stream_ ? paused_ : !writing_;  // the client takes nothing, or sends nothing
-    return !ours && connected_ && now - progress_ > span(exchange_->request.judge->idle());
+    return !ours && connected_;
+}
+
+bool Upstream::Connection::stalled(std::chrono::steady_clock::time_point now) const {
+    if (!is_waited_for()) return false;
+    if (now - progress_ > span(exchange_->request.judge->idle())) return true;
+    const std::optional<Millis> overdue = until_overdue(now);
+    return overdue && *overdue <= 0;
+}
+
+std::optional<Millis> Upstream::Connection::until_overdue(std::chrono::steady_clock::time_point now) const {
+    if (!is_waited_for()) return std::nullopt;
+    const std::optional<Millis> left = exchange_->request.judge->answer_time_left();
+    if (!left) return std::nullopt;
+    const Millis silent = std::chrono::duration<Millis, std::milli>(now - progress_).count();
+    return std::max(*left, kLastPause - silent);
 }
 
 void Upstream::Connection::lost() {
--- a/src/http/server_connection.hpp
+++ b/src/http/server_connection.hpp
@@ -50,6 +50,8 @@
 
     // Of what is passed on as it comes, either way: whether it has stood still for too long.
     bool stalled(std::chrono::steady_clock::time_point now) const;
+    // Until it may be stalled as the time of its answer is over; none: nothing bounds that.
+    std::optional<Millis> until_overdue(std::chrono::steady_clock::time_point now) const;
     void stall() { fail(may_have_run() ? Outcome::severed : Outcome::refused_connection); }
     // It broke. One that had served before may have been given up over there for its idleness, unseen: that
     // says nothing of the server, but something of the connections that have idled beside it.
@@ -62,6 +64,8 @@
     PoolId pool;  // whose it is
 
 private:
+    // Bytes of its answer or its request are due from it, and not from us or our client.
+    bool is_waited_for() const;
     // Nothing waits to be read, not even its end.
     bool quiet() { return peek() == boost::asio::error::would_block; }
     // Something has come that is nobody's.
--- a/src/http/upstream.cpp
+++ b/src/http/upstream.cpp
@@ -16,6 +16,7 @@
 namespace {
 
 constexpr Millis kSweep = 250;  // between looks for what has been idle for too long
+constexpr Millis kLeastSweep = 10;
 
 }  // namespace
 
@@ -98,7 +99,6 @@
 
 // Closes what has been idle for too long.
 void Upstream::sweep() {
-    sweep_timer_.after(span(kSweep), [this] { sweep(); });
     const auto now = std::chrono::steady_clock::now();
     std::vector<ConnectionPtr> over;
     for (const auto& [id, server] : servers_)
@@ -109,6 +109,17 @@
     for (const auto& [id, connection] : exchanges_)
         if (connection->stalled(now)) stalled.push_back(connection);
     for (const ConnectionPtr& connection : stalled) connection->stall();
+    sweep_timer_.after(span(until_next_sweep()), [this] { sweep(); });
+}
+
+// An answer whose time is over is not waited for until the next regular one.
+Millis Upstream::until_next_sweep() const {
+    const auto now = std::chrono::steady_clock::now();
+    Millis wait = kSweep;
+    for (const auto& [id, connection] : exchanges_)
+        if (const auto overdue = connection->until_overdue(now))
+            wait = std::min(wait, std::max(*overdue, kLeastSweep));
+    return wait;
 }
 
 // At the bound, the connection that has been idle longest makes room.
--- a/src/http/upstream.hpp
+++ b/src/http/upstream.hpp
@@ -47,6 +47,9 @@
         virtual bool begins_when_whole() const { return true; }
         // Without a byte either way, once an answer is passed on, or while a request is.
         virtual Millis idle() const { return 30000; }
+        // Until an answer that is passed on is waited for only as long as it goes on coming; none: it may
+        // take any time.
+        virtual std::optional<Millis> answer_time_left() const { return std::nullopt; }
 
     protected:
         ~Judge() = default;
@@ -158,6 +161,7 @@
     bool shed_idle(Server& server);
     void drop_idle(Server& server);
     void sweep();
+    Millis until_next_sweep() const;
     void ended(ExchangeId exchange, const Done& done, Outcome outcome, Response response, Trailers trailers);
     void reuse(const ConnectionPtr& connection);
     void remove(const Connection& connection);
--- a/tests/tier/control_plane/many_orders_test.cpp
+++ b/tests/tier/control_plane/many_orders_test.cpp
@@ -176,17 +176,19 @@
 
 // ---- For how long an order is known again
 
+// The order that makes `version` of the one before it.
+SettingsOrder order_of(std::int64_t version) {
+    const std::string body = "settings " + std::to_string(version);
+    return SettingsOrder{version - 1, version, digest_of(body), body};
+}
+
+OrderAnswer answer_to(const SettingsOrder& order, const wire::RegisterState& state) {
+    OrderAttempt attempt(order);
+    if (attempt.apply(state)) return OrderAnswer::acknowledged;
+    return attempt.answer(consensus::RegisterError{RegisterFailure::rejected, ""});
+}
+
 TEST(OrderMemory, ATakenOrderIsNeverRefusedAndIsToldSoForTwoThousandChanges) {
-    const auto order_of = [](std::int64_t version) {
-        const std::string body = "settings " + std::to_string(version);
-        return SettingsOrder{version - 1, version, digest_of(body), body};
-    };
-    const auto answer_to = [&](const SettingsOrder& order, const wire::RegisterState& state) {
-        OrderAttempt attempt(order);
-        const auto next = attempt.apply(state);
-        if (next) return OrderAnswer::acknowledged;
-        return attempt.answer(consensus::RegisterError{RegisterFailure::rejected, ""});
-    };
     constexpr std::int64_t kChanges = 5000;
     wire::RegisterState state;
     std::int64_t shortest = kChanges;
@@ -206,6 +208,26 @@
     EXPECT_GE(shortest, static_cast<std::int64_t>(kMostTakenChanges));
 }
 
+// Its acknowledgement was lost, and it comes again after so many others.
+TEST(OrderMemory, ATakenOrderIsLeftWithoutAClearAnswerAfterTheRememberedOnes) {
+    constexpr std::int64_t kFirst = 1;
+    wire::RegisterState state;
+    for (std::int64_t version = kFirst; version <= kFirst + 100'000; ++version) {
+        state = taken(state, order_of(version));
+        const std::int64_t later = version - kFirst;
+        if (later == 1999) {
+            EXPECT_EQ(answer_to(order_of(kFirst), state), OrderAnswer::acknowledged);
+        }
+        if (later == 2001 || later == 100'000) {
+            EXPECT_EQ(answer_to(order_of(kFirst), state), OrderAnswer::unavailable) << later;
+        }
+    }
+    // One that never was taken is not acknowledged by mistake.
+    SettingsOrder other = order_of(kFirst);
+    ++other.digest;
+    EXPECT_NE(answer_to(other, state), OrderAnswer::acknowledged);
+}
+
 // ---- A thousand in a row
 
 class Thousand : public ManyOrders {
--- a/tests/tier/data_plane/edge_rig.hpp
+++ b/tests/tier/data_plane/edge_rig.hpp
@@ -166,12 +166,14 @@
     std::shared_ptr<const serving::Configuration> in_force;
     bool drained = false;
     Tcp::endpoint listen_at = whinledge::test::any_port;  // of the ingress
+    const TimeSource* door_clock = &Door::steady();       // of its connections' limits
     std::optional<Ingress> ingress;
     std::list<RawClient> clients;
 
     void SetUp() override {
         Ingress::Options options;
         options.listen = listen_at;
+        options.clock = door_clock;
         ingress.emplace(
             io, options, host, [this] { return in_force; }, [this] { drained = true; });
     }
