--- a/tests/tier/system/system_test.cpp
+++ b/tests/tier/system/system_test.cpp
@@ -81,6 +81,17 @@
 
 TEST(Tier, ControlProcessFrozen) { play(day(8000, {"2:freeze:core-bole-1:3"}), 0.95); }
 
+// A quota of a quarter of a core, kept by stopping the process for the rest of each tenth of a second.
+TEST(Tier, ControlProcessThrottled) {
+    DayOptions options = day(11000, {"0.5:throttle:core-bole-1:10"});
+    options.changes_every = 500;
+    play(options, 0.95);
+}
+
+TEST(Tier, StorageProcessThrottled) { play(day(11000, {"0.5:throttle:storage-cray-1:10"}), 0.95); }
+
+TEST(Tier, SidecarThrottled) { play(day(11000, {"0.5:throttle:edge-aber-1:10"}), 0.95); }
+
 TEST(Tier, ControlProcessWiped) { play(day(8000, {"2:wipe:core-bole-1:1"}), 0.95); }
 
 TEST(Tier, SidecarStoppedAndStarted) { play(day(8000, {"2:term:edge-aber-1:0.5"}), 0.97); }
--- a/tools/tier/rig.hpp
+++ b/tools/tier/rig.hpp
@@ -20,6 +20,7 @@
 enum class Deed {
     kill,
     freeze,
+    throttle,  // by a quota: it is stopped for the rest of each tenth of a second
     terminate,
     hang_up,
     wipe,
@@ -110,6 +111,7 @@
     Task<void> schedule();
     Task<void> do_fault(Fault fault);
     Task<void> roll(Fault fault);
+    Task<void> throttle(std::string machine, Millis lasts);
     Task<void> retire(std::string machine);
     Task<void> do_final_fault();
     Task<void> watch_loop();
--- a/tools/tier/rig_faults.cpp
+++ b/tools/tier/rig_faults.cpp
@@ -12,14 +12,16 @@
 namespace {
 
 constexpr Millis kLossLimit = 15000, kRetireLimit = 12000;
+constexpr Millis kQuotaPeriod = 100, kQuota = 25;  // it runs for the latter of the former
 constexpr Millis kDownBetween = 500, kAfterRecovery = 4000;
 
 struct DeedName {
     const char* name;
     Deed deed;
 };
-constexpr std::array<DeedName, 12> kDeeds{{{"kill", Deed::kill},
+constexpr std::array<DeedName, 13> kDeeds{{{"kill", Deed::kill},
                                            {"freeze", Deed::freeze},
+                                           {"throttle", Deed::throttle},
                                            {"term", Deed::terminate},
                                            {"hup", Deed::hang_up},
                                            {"wipe", Deed::wipe},
@@ -63,7 +65,7 @@
                                    [&](const DeedName& known) { return known.name == parts[1]; });
     if (deed == kDeeds.end())
         throw std::invalid_argument("'" + parts[1] +
-                                    "' is no deed: kill, freeze, term, hup, wipe, replace, retire, "
+                                    "' is no deed: kill, freeze, throttle, term, hup, wipe, replace, retire, "
                                     "remove, add, drain, upgrade or downgrade");
     Fault fault{seconds(parts[0]), deed->deed, parts[2]};
     if (parts.size() == 4) fault.lasts = seconds(parts[3]);
@@ -133,6 +135,9 @@
         case Deed::freeze:
             tier_->freeze(name);
             break;
+        case Deed::throttle:
+            co_await throttle(name, fault.lasts);
+            co_return;
         case Deed::upgrade:
         case Deed::downgrade:
             tier_->use_newer(name, fault.deed == Deed::upgrade);
@@ -181,6 +186,16 @@
     }
 }
 
+Task<void> Rig::throttle(std::string machine, Millis lasts) {
+    const Millis until = world_.now() + lasts;
+    while (world_.now() < until && !world_.ending) {
+        tier_->hold(machine);
+        co_await sleep_for(world_, kQuotaPeriod - kQuota);
+        tier_->release(machine);
+        co_await sleep_for(world_, kQuota);
+    }
+}
+
 Task<void> Rig::retire(std::string machine) {
     const int status = co_await operator_->begin_retirement(machine, kRetireLimit);
     if (!is_success(status)) {
--- a/tools/tier/tier.cpp
+++ b/tools/tier/tier.cpp
@@ -286,6 +286,16 @@
     return true;
 }
 
+bool Tier::hold(const std::string& name) {
+    const Machine* const machine = known(name);
+    return machine && machine->pid > 0 && !machine->frozen && ::kill(machine->pid, SIGSTOP) == 0;
+}
+
+bool Tier::release(const std::string& name) {
+    const Machine* const machine = known(name);
+    return machine && machine->pid > 0 && !machine->frozen && ::kill(machine->pid, SIGCONT) == 0;
+}
+
 bool Tier::terminate(const std::string& name) {
     Machine* const machine = known(name);
     if (!machine || machine->pid <= 0) return false;
--- a/tools/tier/tier.hpp
+++ b/tools/tier/tier.hpp
@@ -77,6 +77,9 @@
     bool start(const std::string& name);
     bool freeze(const std::string& name);
     bool thaw(const std::string& name);
+    // Stops its process, or lets it go on: what a quota of the processor does. Its machine is in no trouble.
+    bool hold(const std::string& name);
+    bool release(const std::string& name);
     bool terminate(const std::string& name);  // SIGKILL after grace
     bool hang_up(const std::string& name);    // SIGHUP
     // Which build it runs from its next start on. Throws std::invalid_argument where no newer one was given.
