--- /dev/null
+++ b/cmake/socket_headers.cpp
@@ -0,0 +1,1 @@
+// Carries the precompiled headers; has nothing of its own.
