--- a/src/programs/daemon_log.cpp
+++ b/src/programs/daemon_log.cpp
@@ -4,6 +4,7 @@
 #include <sys/statvfs.h>
 #include <unistd.h>
 
+#include <array>
 #include <filesystem>
 #include <string_view>
 
@@ -86,9 +87,10 @@
     FLAGS_logtostderr = false;
     FLAGS_stderrthreshold = google::NUM_SEVERITIES;
     // A message goes to the logger of its severity and of each lower one; glog owns them.
-    google::base::SetLogger(google::GLOG_INFO, new WriterLogger(writer));
-    for (int severity = google::GLOG_INFO + 1; severity < google::NUM_SEVERITIES; ++severity)
-        google::base::SetLogger(severity, new NoLogger);
+    static const std::array<google::base::Logger*, google::NUM_SEVERITIES> loggers{
+        new WriterLogger(writer), new NoLogger, new NoLogger, new NoLogger};
+    for (int severity = google::GLOG_INFO; severity < google::NUM_SEVERITIES; ++severity)
+        google::base::SetLogger(severity, loggers[static_cast<std::size_t>(severity)]);
     set_log_level(settings);
     return writer;
 }
