Places: a flood of silent connections costs the same for each, at any number of places

For each connection that came at the bound, all places were looked through and heaped. Change: silent connections stand in a list by the length of their silence; an entry is allocated with its connection, so that no change of state can fail. The idle are looked through only where no silent one may go.

--- a/src/limits/places.cpp
+++ b/src/limits/places.cpp
@@ -1,6 +1,7 @@
 #include "limits/places.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <tuple>
 #include <vector>
 
@@ -24,27 +25,43 @@
 }  // namespace
 
 void Places::connected(Id id, Millis now, Millis silent_for) {
+    const Millis since = now - std::clamp(silent_for, 0.0, kSilence - kMoment);
+    Silences own{{since, id}};
     Connection& c = open_[id];
-    c.since = now - std::clamp(silent_for, 0.0, kSilence - kMoment);
+    c.since = since;
+    c.silence = own.begin();
+    begin_silence(c, own);
     ++count(c);
 }
 
+// Nearly always the latest: only who is accepted late stands before others.
+void Places::begin_silence(Connection& c, Silences& from) {
+    c.silence->since = c.since;
+    const auto key = [](const Silence& silence) { return std::tie(silence.since, silence.id); };
+    auto next = silent_.end();
+    while (next != silent_.begin() && key(*c.silence) < key(*std::prev(next))) --next;
+    silent_.splice(next, from, c.silence);
+}
+
 // Where a connection is counted; those at work are in no count.
 std::size_t& Places::count(const Connection& c) {
     if (c.state == State::silent) return counts_.silent;
     return c.times == 0 ? counts_.health : c.times == 1 ? counts_.once : counts_.returning;
 }
 
-void Places::enter(Connection& c, State state, Millis now) {
+void Places::enter(Id id, State state, Millis now) {
+    Connection& c = open_.at(id);
+    if (c.state == State::silent) heard_.splice(heard_.end(), silent_, c.silence);
     if (c.state != State::busy) --count(c);
     c.state = state;
     c.since = now;
     if (c.state != State::busy) ++count(c);
+    if (c.state == State::silent) begin_silence(c, heard_);
 }
 
 void Places::asked(Id id, bool health, Millis now) {
+    enter(id, State::busy, now);
     Connection& c = open_.at(id);
-    enter(c, State::busy, now);
     if (health) return;
     if (c.times > 0) {
         const Millis gap = now - c.asked;
@@ -62,19 +79,20 @@
     return taken + most_ / kReserve <= most_ && counts_.once < std::max<std::size_t>(1, most_ / kOncePart);
 }
 
-void Places::idles(Id id, Millis now) { enter(open_.at(id), State::idle, now); }
+void Places::idles(Id id, Millis now) { enter(id, State::idle, now); }
 
 void Places::wakes(Id id, Millis now) {
-    Connection& c = open_.at(id);
-    if (c.state == State::idle) enter(c, State::silent, now);
+    if (open_.at(id).state == State::idle) enter(id, State::silent, now);
 }
 
-void Places::ends(Id id, Millis now) { enter(open_.at(id), State::silent, now); }
+void Places::ends(Id id, Millis now) { enter(id, State::silent, now); }
 
 void Places::closed(Id id) {
     const auto at = open_.find(id);
     if (at == open_.end()) return;
-    if (at->second.state != State::busy) --count(at->second);
+    const Connection& c = at->second;
+    if (c.state != State::busy) --count(c);
+    (c.state == State::silent ? silent_ : heard_).erase(c.silence);
     open_.erase(at);
 }
 
@@ -85,7 +103,17 @@
     return idle > 2 * c.gap ? idle : c.gap;
 }
 
+// A flood of connections that say nothing costs the same for each, however many places there are.
 std::optional<Places::Id> Places::least_worth(Millis now, const std::function<bool(Id)>& spare) const {
+    for (const Silence& silence : silent_) {
+        if (now - silence.since < kSilence) break;
+        if (spare(silence.id)) return silence.id;
+    }
+    return least_worth_of_idle(now, spare);
+}
+
+std::optional<Places::Id> Places::least_worth_of_idle(Millis now,
+                                                      const std::function<bool(Id)>& spare) const {
     struct Candidate {
         int rank;  // the highest goes first
         Millis worthless;
@@ -94,18 +122,14 @@
             return std::tie(rank, worthless, other.id) < std::tie(other.rank, other.worthless, id);
         }
     };
+    // Somebody silent will do in a moment, rather than who may be about to ask.
+    const bool wait = !silent_.empty() && now - silent_.back().since < kSilence;
     std::vector<Candidate> all;
-    bool patience = false;  // somebody silent will do in a moment
     for (const auto& [id, c] : open_) {
-        const Millis age = now - c.since;
-        if (c.state == State::silent && age < kSilence)
-            patience = true;
-        else if (c.state == State::silent)
-            all.push_back({3, age, id});
-        else if (c.state == State::idle)
-            all.push_back({c.times == 0 ? 2 : age >= kIdleness ? 1 : 0, next_request_in(c, now), id});
+        if (c.state != State::idle) continue;
+        const int rank = c.times == 0 ? 2 : now - c.since >= kIdleness ? 1 : 0;
+        if (rank > 0 || !wait) all.push_back({rank, next_request_in(c, now), id});
     }
-    if (patience) std::erase_if(all, [](const Candidate& c) { return c.rank == 0; });
     std::make_heap(all.begin(), all.end());
     for (auto end = all.end(); end != all.begin();) {
         std::pop_heap(all.begin(), end);
@@ -115,11 +139,9 @@
 }
 
 std::optional<Millis> Places::patience(Millis now) const {
-    std::optional<Millis> least;
-    for (const auto& [id, c] : open_)
-        if (const Millis left = kSilence - (now - c.since); c.state == State::silent && left > 0)
-            least = std::min(left, least.value_or(left));
-    return least;
+    for (const Silence& silence : silent_)
+        if (const Millis left = kSilence - (now - silence.since); left > 0) return left;
+    return std::nullopt;
 }
 
 Places::Stats Places::stats() const { return counts_; }
--- a/src/limits/places.hpp
+++ b/src/limits/places.hpp
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <list>
 #include <optional>
 #include <unordered_map>
 
@@ -19,6 +20,8 @@
 
     // `most` connections can be open at once, at least one.
     explicit Places(std::size_t most) : most_(most) {}
+    Places(const Places&) = delete;
+    Places& operator=(const Places&) = delete;
 
     // `silent_for`: as long as nothing has come from it, in the queue of those to be accepted too.
     void connected(Id id, Millis now, Millis silent_for = 0);
@@ -54,19 +57,29 @@
 
 private:
     enum class State { silent, busy, idle };  // silent: nothing whole has come, or nothing more will
+    struct Silence {
+        Millis since = 0;
+        Id id = 0;
+    };
+    using Silences = std::list<Silence>;
     struct Connection {
+        Silences::iterator silence;  // its own, in `silent_` or in `heard_`
         State state = State::silent;
         Millis since = 0;    // in that state
         Millis asked = 0;    // when its last request came
         Millis gap = 0;      // between its requests, a mean of late
         unsigned times = 0;  // it has asked, /_health left out
     };
-    void enter(Connection& connection, State state, Millis now);
+    void enter(Id id, State state, Millis now);
+    void begin_silence(Connection& connection, Silences& from);
     std::size_t& count(const Connection& connection);
+    std::optional<Id> least_worth_of_idle(Millis now, const std::function<bool(Id)>& spare) const;
     static Millis next_request_in(const Connection& connection, Millis now);
 
     std::size_t most_;
     std::unordered_map<Id, Connection> open_;
+    Silences silent_;  // longest first, then by identity
+    Silences heard_;   // of all others, kept so that a change of state allocates nothing
     Stats counts_;
 };
 
--- a/tests/unit/places_test.cpp
+++ b/tests/unit/places_test.cpp
@@ -3,7 +3,10 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <map>
+#include <optional>
+#include <utility>
 #include <vector>
 
 namespace whinledge {
@@ -148,6 +151,61 @@
     EXPECT_EQ(places.least_worth(now, [&](Places::Id id) { return id != first; }), second);
 }
 
+// The longest silence first, whatever the order in which silences were heard of; of the same length, the
+// first to come.
+TEST_F(PlacesTest, SilencesGoByTheirLength) {
+    std::uint64_t state = 11;
+    const auto below = [&](std::uint32_t n) {
+        state = state * 6364136223846793005u + 1442695040888963407u;
+        return static_cast<std::uint32_t>(state >> 33) % n;
+    };
+    std::map<Places::Id, Millis> silent;  // and since when
+    std::vector<Places::Id> busy;
+    for (int i = 0; i < 20000; ++i, now += below(4)) {
+        const Millis queued = below(30);
+        if (silent.size() < 40) {
+            silent[next] = now - std::min(queued, 20.0);
+            places.connected(next++, now, queued);
+        }
+        if (below(3) == 0) {
+            const auto asks = std::next(silent.begin(), below(static_cast<std::uint32_t>(silent.size())));
+            places.asked(asks->first, false, now);
+            busy.push_back(asks->first);
+            silent.erase(asks);
+        }
+        if (!busy.empty() && below(3) == 0) {
+            places.ends(busy.back(), now);
+            silent[busy.back()] = now;
+            busy.pop_back();
+        }
+        std::optional<std::pair<Millis, Places::Id>> longest;
+        for (const auto& [id, since] : silent)
+            if (now - since >= 25)
+                longest = std::min(longest.value_or(std::pair(since, id)), std::pair(since, id));
+        const auto found = least();
+        ASSERT_EQ(found.has_value(), longest.has_value());
+        if (!found) continue;
+        ASSERT_EQ(*found, longest->second);
+        places.closed(*found);
+        silent.erase(*found);
+    }
+}
+
+// 300,000 of them at 100,000 places: none looks through all others.
+TEST(Places, AFloodOfTheSilentCostsTheSameForEach) {
+    constexpr Places::Id kMost = 100'000;
+    Places places(kMost);
+    Millis now = 0;
+    for (Places::Id id = 0; id < 3 * kMost; ++id, now += 0.01) {
+        if (places.full()) {
+            const auto least = places.least_worth(now, [](Places::Id) { return true; });
+            ASSERT_EQ(least, id - kMost);
+            places.closed(*least);
+        }
+        places.connected(id, now, 1000);
+    }
+}
+
 // The counts that decide are kept by every way through a connection's life.
 TEST_F(PlacesTest, CountsAreKeptOverRandomLives) {
     std::uint64_t state = 7;
