--- a/cmake/tier.cmake
+++ b/cmake/tier.cmake
@@ -32,8 +32,7 @@
 add_library(whinledge_wire STATIC ${wire_sources})
 target_include_directories(whinledge_wire SYSTEM PUBLIC ${wire_folder} ${THRIFT_INCLUDE})
 target_link_libraries(whinledge_wire PUBLIC ${THRIFT_LIBRARY})
-# Generated, and what simulations of the tier spend most of their time in: not worth stepping through.
-target_compile_options(whinledge_wire PRIVATE $<$<CONFIG:Debug>:-O1>)
+whinledge_optimise_for_debugging(whinledge_wire)
 
 # The log of the new programs: glog, to standard error.
 add_library(whinledge_glog INTERFACE)
