--- a/src/limits/places.cpp
+++ b/src/limits/places.cpp
@@ -103,7 +103,7 @@
     return idle > 2 * c.gap ? idle : c.gap;
 }
 
-// A flood of connections that say nothing costs the same for each, however many places there are.
+// The first silent one that is spare: a flood of them costs the same for each, however many places there are.
 std::optional<Places::Id> Places::least_worth(Millis now, const std::function<bool(Id)>& spare) const {
     for (const Silence& silence : silent_) {
         if (now - silence.since < kSilence) break;
