Tests: one wait for the loop

Cause: run_until stood in rig/net_rig.cpp and again in rig/loop.hpp. Change: it stands in loop.hpp, which both use.

--- a/tests/rig/loop.hpp
+++ b/tests/rig/loop.hpp
@@ -16,18 +16,20 @@
 
 namespace asio = boost::asio;
 
+inline void run_until(asio::io_context& io, const std::function<bool()>& reached) {
+    const auto limit = std::chrono::steady_clock::now() + std::chrono::seconds(10);
+    io.restart();
+    while (!reached()) {
+        if (std::chrono::steady_clock::now() > limit) FAIL() << "waited in vain";
+        io.run_one_for(std::chrono::milliseconds(50));
+        io.restart();
+    }
+}
+
 struct LoopRig : testing::Test {
     asio::io_context io;
 
-    void until(const std::function<bool()>& reached) {
-        const auto limit = std::chrono::steady_clock::now() + std::chrono::seconds(10);
-        io.restart();
-        while (!reached()) {
-            if (std::chrono::steady_clock::now() > limit) FAIL() << "waited in vain";
-            io.run_one_for(std::chrono::milliseconds(50));
-            io.restart();
-        }
-    }
+    void until(const std::function<bool()>& reached) { run_until(io, reached); }
     // Handles all that is ready, and waits for nothing.
     void drain() {
         io.restart();
--- a/tests/rig/net_rig.cpp
+++ b/tests/rig/net_rig.cpp
@@ -2,16 +2,6 @@
 
 namespace whinledge::test {
 
-void run_until(asio::io_context& io, const std::function<bool()>& reached) {
-    const auto limit = std::chrono::steady_clock::now() + std::chrono::seconds(10);
-    io.restart();
-    while (!reached()) {
-        if (std::chrono::steady_clock::now() > limit) FAIL() << "waited in vain";
-        io.run_one_for(std::chrono::milliseconds(50));
-        io.restart();
-    }
-}
-
 int other_side(const Tcp::socket& socket) {
     const auto port = [](auto ask, int fd) {
         sockaddr_in at{};
--- a/tests/rig/net_rig.hpp
+++ b/tests/rig/net_rig.hpp
@@ -18,6 +18,7 @@
 #include <vector>
 
 #include "app/sidecar.hpp"
+#include "rig/loop.hpp"
 #include "rig/test_time.hpp"
 
 namespace whinledge::test {
@@ -26,8 +27,6 @@
 namespace http = boost::beast::http;
 using boost::system::error_code;
 
-void run_until(asio::io_context& io, const std::function<bool()>& reached);
-
 inline constexpr const char* kHealth = "GET /_health HTTP/1.1\r\nHost: app.svc\r\n\r\n";
 
 inline const Tcp::endpoint any_port(asio::ip::address_v4::loopback(), 0);
