--- /dev/null
+++ b/review/1/case.py
@@ -0,0 +1,32 @@
+"""One of four stores is retired. One of the three that stay is lost for good and replaced by an empty one at
+another address. 14 s after the start of this successor comes the final fault of the rule RECOVER: every process
+is killed, and one store loses its disk."""
+
+import os
+import sys
+import time
+
+HERE = os.path.dirname(os.path.abspath(__file__))
+sys.path.insert(0, os.path.join(HERE, ".."))
+from rig import play  # noqa: E402
+from stores import Conversations, final_fault_breaks_recover, replace, retire  # noqa: E402
+
+
+def scenario(rig, trouble):
+    rig.add_servers("agent-llm")
+    rig.start()
+    rig.configure()
+    rig.wait_ready(rig.proxies, 15)
+    before = Conversations(rig, 26)
+    time.sleep(2)
+    left = list(rig.stores)
+    if retire(rig, left[-1]):
+        left.pop()
+    time.sleep(4)
+    if trouble:
+        replace(rig, left.pop())
+    time.sleep(14)
+    return final_fault_breaks_recover(rig, before, wiped=left[0])
+
+
+sys.exit(play(HERE, scenario))
