Retirement: those that remain bear a loss, or the order is refused

Cause: a machine was let go while as many members remained as a turn has copies. A reservation needs a majority of the voters, of two both. Members that were gone or not filled counted as well.

Now 2 machineLosses + 1 that vote and are there have to remain, in zones enough for a turn's copies after a loss; else 409, or 503 where only somebody has to come back or be filled. A joining machine is not retired: it may be another's successor.

Retirement.BeginsWhereEnoughRemain and TooFewMembersOrZonesRefuse took three members for enough; they ask the same of four now, since of two that are left none can be lost.

--- a/src/control_plane/control_process.cpp
+++ b/src/control_plane/control_process.cpp
@@ -8,6 +8,7 @@
 #include <map>
 #include <nlohmann/json.hpp>
 #include <random>
+#include <set>
 #include <sstream>
 #include <utility>
 
@@ -178,7 +179,7 @@
       api_(register_,
            [&] {
                OperatorApi::Options options = api_options();
-               options.storage_copies = copies(settings);
+               options.machine_losses = copies(settings) - 1;
                return options;
            }()),
       timer_(io) {
@@ -365,6 +366,12 @@
             return heard.info.node == node && now() - heard.last <= kPresent;
         });
     };
+    options.storages_voting = [this] {
+        std::set<std::int64_t> voting;
+        for (const Heard& heard : membership_.of_role(wire::NodeRole::storage, now(), kPresent))
+            if (heard.votes()) voting.insert(heard.info.identity);
+        return voting;
+    };
     options.members = [this] { return members_page(); };
     options.acceptors = [this] { return acceptors_page(); };
     options.overlay = [this] { return overlay_page(); };
--- a/src/control_plane/membership.hpp
+++ b/src/control_plane/membership.hpp
@@ -22,6 +22,9 @@
     std::optional<wire::StorageProgress> storage_progress;  // none: no storage process, or an earlier build
     std::int64_t sequence = 0;                              // of the register's state that it had
     bool direct = false;                                    // the last word came from itself
+
+    // Of a storage process: it votes, as far as it says. Builds that say nothing of it are taken to vote.
+    bool votes() const { return !storage_progress || storage_progress->voting; }
 };
 
 class Membership {
--- a/src/control_plane/operator_api.cpp
+++ b/src/control_plane/operator_api.cpp
@@ -61,11 +61,11 @@
 
 struct Retirement {
     std::string node;
-    std::size_t copies = 0;
+    RetirementNeeds needs;
     RetirementDecision last = RetirementDecision::unknown;
 
     std::optional<wire::RegisterState> apply(const wire::RegisterState& current) {
-        last = decide_retirement(current, node, copies);
+        last = decide_retirement(current, node, needs);
         if (last != RetirementDecision::begin) return std::nullopt;
         return retiring(current, node);
     }
@@ -77,7 +77,10 @@
     if (result.error().failure != RegisterFailure::rejected) return unavailable(result.error().message);
     switch (attempt.last) {
         case RetirementDecision::too_few:
-            return fault(409, "too few storage machines would remain; add one first");
+            return fault(409, "too few storage machines would remain to bear a loss; add one first");
+        case RetirementDecision::not_yet:
+            return unavailable(
+                "a storage machine that has to remain is not there, or not filled yet; try again");
         case RetirementDecision::unknown:
             if (heard) return unavailable("this machine is about to join; try again");
             return fault(404, "there is no storage machine of this name");
@@ -140,7 +143,7 @@
 void OperatorApi::begin_retirement(const std::string& node, Respond respond) {
     const auto attempt = std::make_shared<Retirement>();
     attempt->node = node;
-    attempt->copies = options_.storage_copies;
+    attempt->needs = {options_.machine_losses, options_.storages_voting()};
     register_.change(
         [attempt](const wire::RegisterState& current) { return attempt->apply(current); }, kRegisterTimeout,
         [attempt, heard = options_.storage_heard(node), respond = std::move(respond)](StateResult result) {
--- a/src/control_plane/operator_api.hpp
+++ b/src/control_plane/operator_api.hpp
@@ -1,8 +1,10 @@
 // The operator's calls over HTTP: the configuration, retirement of storage machines, and pages to look at.
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 
 #include "consensus/register_service.hpp"
@@ -13,9 +15,11 @@
 class OperatorApi {
 public:
     struct Options {
-        std::size_t storage_copies = 2;  // machineLosses + 1
+        std::size_t machine_losses = 1;  // that the storage machines have to bear at once
         // Whether a storage machine of this name watches, though it may not be in the map yet.
         std::function<bool(const std::string& node)> storage_heard;
+        std::function<std::set<std::int64_t>()>
+            storages_voting;  // identities of those that are there and vote
         // Pages for whinledge-ctl, by path; JSON.
         std::function<std::string()> members, acceptors, leases, replicas, openings, overlay, list, status;
     };
--- a/tests/tier/control_plane/retirement_test.cpp
+++ b/tests/tier/control_plane/retirement_test.cpp
@@ -14,6 +14,7 @@
     one.node = node;
     one.zone = zone;
     one.state = state;
+    one.identity = node.front();
     return one;
 }
 
@@ -24,42 +25,85 @@
     return state;
 }
 
+// All of them are there but `away`.
+RetirementDecision decide(const wire::RegisterState& state, const std::string& node,
+                          const std::string& away = "", std::size_t losses = 1) {
+    RetirementNeeds needs;
+    needs.machine_losses = losses;
+    for (const wire::StorageMember& one : state.storage.members)
+        if (one.node != away) needs.voting.insert(one.identity);
+    return decide_retirement(state, node, needs);
+}
+
 TEST(Retirement, BeginsWhereEnoughRemain) {
-    const auto state = with({member("a", "z1"), member("b", "z2"), member("c", "z3")});
-    EXPECT_EQ(decide_retirement(state, "a", 2), RetirementDecision::begin);
+    const auto state = with({member("a", "z1"), member("b", "z2"), member("c", "z3"), member("d", "z4")});
+    EXPECT_EQ(decide(state, "a"), RetirementDecision::begin);
     const auto next = retiring(state, "a");
     EXPECT_EQ(next.storage.members[0].state, StorageState::retiring);
     EXPECT_EQ(next.storage.members[1].state, StorageState::member);
     EXPECT_EQ(next.storage.epoch, 5);
-    EXPECT_EQ(decide_retirement(next, "a", 2), RetirementDecision::under_way);
+    EXPECT_EQ(decide(next, "a"), RetirementDecision::under_way);
     EXPECT_EQ(retirement_progress(next, "a"), RetirementProgress::serving);
-    EXPECT_EQ(decide_retirement(next, "b", 2), RetirementDecision::too_few)
-        << "only one full member would remain";
+    EXPECT_EQ(decide(next, "b"), RetirementDecision::too_few) << "only two full members would remain";
+}
+
+// RECOVER: of four members two could be retired, and a loss of one of the two left ended all turns.
+TEST(Retirement, ThoseThatRemainHaveAMajorityAfterALoss) {
+    const std::vector<wire::StorageMember> five{member("a", "z1"), member("b", "z2"), member("c", "z3"),
+                                                member("d", "z4"), member("e", "z5")};
+    const std::vector<wire::StorageMember> three(five.begin(), five.begin() + 3);
+    EXPECT_EQ(decide(with(three), "a"), RetirementDecision::too_few);
+    EXPECT_EQ(decide(with(five), "a"), RetirementDecision::begin);
+    EXPECT_EQ(decide(with(five), "a", "", 2), RetirementDecision::too_few) << "two losses need five";
+    EXPECT_EQ(decide(with(three), "a", "", 0), RetirementDecision::begin) << "none is to be borne";
+}
+
+TEST(Retirement, ZonesOfThoseThatAreAwayAreAskedForAsWell) {
+    const auto state =
+        with({member("a", "z1"), member("b", "z2"), member("c", "z2"), member("d", "z3"), member("e", "z4")});
+    EXPECT_EQ(decide(state, "d", "e"), RetirementDecision::not_yet)
+        << "until it is back, the loss of a would leave one zone";
+}
+
+TEST(Retirement, WaitsForThoseThatAreAwayOrNotFilled) {
+    const auto four = with({member("a", "z1"), member("b", "z2"), member("c", "z3"), member("d", "z4")});
+    EXPECT_EQ(decide(four, "a", "c"), RetirementDecision::not_yet);
+    EXPECT_EQ(decide(four, "a", "a"), RetirementDecision::begin) << "the one that leaves may be away";
+    EXPECT_EQ(decide(with({member("a", "z1"), member("b", "z2"), member("c", "z3"),
+                           member("d", "z4", StorageState::joining)}),
+                     "a"),
+              RetirementDecision::not_yet);
+    const auto joins = with(
+        {member("a", "z1"), member("b", "z2"), member("c", "z3"), member("d", "z4", StorageState::joining)});
+    EXPECT_EQ(decide(joins, "d"), RetirementDecision::not_yet) << "it may be the successor of another";
 }
 
 TEST(Retirement, TooFewMembersOrZonesRefuse) {
-    EXPECT_EQ(decide_retirement(with({member("a", "z1"), member("b", "z2")}), "a", 2),
-              RetirementDecision::too_few);
-    EXPECT_EQ(decide_retirement(with({member("a", "z1"), member("b", "z2"), member("c", "z2")}), "a", 2),
+    EXPECT_EQ(decide(with({member("a", "z1"), member("b", "z2")}), "a"), RetirementDecision::too_few);
+    EXPECT_EQ(decide(with({member("a", "z1"), member("b", "z2"), member("c", "z2"), member("d", "z3")}), "b"),
+              RetirementDecision::begin);
+    EXPECT_EQ(decide(with({member("a", "z1"), member("b", "z1"), member("c", "z2"), member("d", "z2")}), "a"),
+              RetirementDecision::too_few)
+        << "after the loss of b copies could not lie in two zones";
+    EXPECT_EQ(decide(with({member("a", "z1"), member("b", "z2"), member("c", "z2"), member("d", "z2")}), "a"),
               RetirementDecision::too_few)
         << "copies must lie in two zones";
     EXPECT_EQ(
-        decide_retirement(
-            with({member("a", "z1"), member("b", "z2"), member("c", "z3", StorageState::joining)}), "a", 2),
+        decide(with({member("a", "z1"), member("b", "z2"), member("c", "z3", StorageState::joining)}), "a"),
         RetirementDecision::too_few)
-        << "one that is not filled does not count";
-    EXPECT_EQ(decide_retirement(with({member("a", "z"), member("b", "z"), member("c", "z")}), "a", 2),
+        << "nor would it do once the third is filled";
+    EXPECT_EQ(decide(with({member("a", "z"), member("b", "z"), member("c", "z"), member("d", "z")}), "a"),
               RetirementDecision::begin)
         << "there is one zone only";
 }
 
 TEST(Retirement, UnknownAndFinished) {
     auto state = with({member("a", "z1"), member("b", "z2"), member("c", "z3")});
-    EXPECT_EQ(decide_retirement(state, "x", 2), RetirementDecision::unknown);
+    EXPECT_EQ(decide(state, "x"), RetirementDecision::unknown);
     EXPECT_EQ(retirement_progress(state, "x"), RetirementProgress::unknown);
     EXPECT_EQ(retirement_progress(state, "a"), RetirementProgress::serving);
     state.retired = {"x"};
-    EXPECT_EQ(decide_retirement(state, "x", 2), RetirementDecision::finished);
+    EXPECT_EQ(decide(state, "x"), RetirementDecision::finished);
     EXPECT_EQ(retirement_progress(state, "x"), RetirementProgress::finished);
 }
 
