Storage map: a silent voter gives its place to a member that joins

Cause: a joining member was `synced` only once it had followed every voter, the one that is gone included, and a gone one of three was never dropped. Each waited for the other. With four voters it was so for 8 s.

Now a silent voter (2.6 s) leaves as another joins: dropped where enough others are there, else swapped for the joining one in one epoch. It works because a dead voter never votes, and an unfilled one in its place needs the same others. No more than machineLosses of the voters since the map was last whole may be away for that, and less than a majority. Along the same path: "a majority knows" is counted by voters, not by joining members; a silent joining member goes; emptied ones leave one after the other; a member looks again at once for others that know the new map.

StorageMap.RetiringOneLeavesOnceEmptied is about four members now: of three no order is taken any more.

--- a/src/control_plane/control_process.cpp
+++ b/src/control_plane/control_process.cpp
@@ -232,7 +232,7 @@
         reconcile_overlay();
     }
     leases_.tick();
-    reconciler_.observe(register_.known(), at);
+    reconciler_.observe(register_.known(), membership_.storages(), at);
     if (leases_.held(kStorageMapLease)) reconcile_storage();
     tick_after(
         Span(std::uniform_int_distribution<long>(kShortestTick.count(), kLongestTick.count())(random_)));
--- a/src/control_plane/storage_map_reconciler.cpp
+++ b/src/control_plane/storage_map_reconciler.cpp
@@ -5,12 +5,11 @@
 #include <string>
 #include <utility>
 
-#include "storage_map/ledger_placement.hpp"
-
 namespace whinledge::control_plane {
 namespace {
 
-constexpr std::size_t kMostRemembered = 500;  // identities and nodes that are members no more
+constexpr std::size_t kMostEarlierVoters = 64;  // sets of them; the oldest and the newest are kept
+constexpr std::size_t kMostRemembered = 500;    // identities and nodes that are members no more
 
 using wire::StorageMember;
 using wire::StorageState;
@@ -84,22 +83,57 @@
     bool voters_changed = false;  // one left
 };
 
-void StorageMapReconciler::observe(const wire::RegisterState& state, Instant now) {
+void StorageMapReconciler::observe(const wire::RegisterState& state, const std::vector<Heard>& storages,
+                                   Instant now) {
     if (now - observed_ > options_.blind) sighted_ = now;
     observed_ = now;
-    if (state.storage.epoch != map_epoch_) {
-        map_epoch_ = state.storage.epoch;
-        map_sequence_ = state.sequence;
-    }
+    note_voters(state);
     std::map<std::int64_t, Since> since;
     for (const StorageMember& member : state.storage.members) {
         const auto before = since_.find(member.identity);
         const bool same = before != since_.end() && before->second.state == member.state;
-        since[member.identity] = same ? before->second : Since{member.state, state.sequence, now};
+        since[member.identity] =
+            same ? before->second : Since{member.state, state.sequence, now, member.node};
     }
-    for (const auto& [identity, before] : since_)
-        if (!since.count(identity)) dropped_ = now;
+    note_departures(state, since, now);
     since_ = std::move(since);
+    if (earlier_voters_.empty() || !is_made_good(storages, now)) return;
+    earlier_voters_.clear();
+    emptied_.clear();
+}
+
+void StorageMapReconciler::note_voters(const wire::RegisterState& state) {
+    if (state.storage.epoch == map_epoch_) return;
+    storage_map::LedgerPlacement voters(state.storage);
+    if (map_epoch_ == 0 || !(voters == voters_)) voters_sequence_ = state.sequence;
+    if (map_epoch_ != 0 && voters.voters() != voters_.voters()) earlier_voters_.push_back(voters_.voters());
+    if (earlier_voters_.size() > kMostEarlierVoters) earlier_voters_.erase(earlier_voters_.begin() + 1);
+    voters_ = std::move(voters);
+    map_epoch_ = state.storage.epoch;
+}
+
+void StorageMapReconciler::note_departures(const wire::RegisterState& state,
+                                           const std::map<std::int64_t, Since>& present, Instant now) {
+    for (const auto& [identity, before] : since_) {
+        if (present.count(identity) || before.state == StorageState::joining) continue;
+        if (contains(state.retired, before.node))
+            emptied_.insert(identity);
+        else
+            dropped_ = now;
+    }
+}
+
+// All voters are there, vote, and hold all that they should, as far as they say.
+bool StorageMapReconciler::is_made_good(const std::vector<Heard>& storages, Instant now) const {
+    std::set<std::int64_t> wanting = voters_.voters();
+    for (const Heard& storage : storages) {
+        const bool there = now - storage.last <= options_.replaced && storage.sequence >= voters_sequence_;
+        const auto& progress = storage.storage_progress;
+        const bool complete = !progress || (progress->voting && progress->lacking_turns == 0 &&
+                                            progress->unfollowed_members == 0);
+        if (there && complete) wanting.erase(storage.info.identity);
+    }
+    return wanting.empty();
 }
 
 // Nothing can have been written yet: all who are there are members at once.
@@ -140,17 +174,36 @@
 bool StorageMapReconciler::majority_knows(const wire::RegisterState& current,
                                           const std::vector<Heard>& storages) const {
     if (current.storage.epoch != map_epoch_) return false;
-    const storage_map::LedgerPlacement ledgers(current.storage);
-    std::set<std::int64_t> unaware = ledgers.voters();
+    std::set<std::int64_t> unaware = voters_.voters();
     for (const Heard& storage : storages)
-        if (storage.sequence >= map_sequence_) unaware.erase(storage.info.identity);
-    const std::size_t voters = ledgers.voters().size();
+        if (storage.sequence >= voters_sequence_) unaware.erase(storage.info.identity);
+    const std::size_t voters = voters_.voters().size();
     if (voters - unaware.size() <= voters / 2) return false;
     const std::size_t minority =
-        ledgers.group_size() - storage_map::reservation_majority(ledgers.group_size());
-    return !ledgers.grouped() || ledgers.most_in_one_group(unaware) < minority;
+        voters_.group_size() - storage_map::reservation_majority(voters_.group_size());
+    return !voters_.grouped() || voters_.most_in_one_group(unaware) < minority;
+}
+
+// Which voters are there, and who might take the place of one that is not.
+struct StorageMapReconciler::Attendance {
+    std::set<std::int64_t> there;                   // identities of voters
+    std::size_t staying = 0;                        // of those that are there: filled, and not retiring
+    bool some_unfilled = false;                     // of those that are there
+    const StorageMember* longest_silent = nullptr;  // of the voters that are not there
+    std::vector<const StorageMember*> joining;      // that are there
+};
+
+namespace {
+
+// Whichever majority of the voters decided something, one of it is there.
+bool majorities_keep_one(const std::set<std::int64_t>& voters, const std::set<std::int64_t>& there) {
+    const auto away = static_cast<std::size_t>(std::count_if(
+        voters.begin(), voters.end(), [&](std::int64_t voter) { return there.count(voter) == 0; }));
+    return away < storage_map::reservation_majority(voters.size());
 }
 
+}  // namespace
+
 // In an epoch of its own.
 void StorageMapReconciler::place_ledgers(Draft& draft) const {
     if (draft.state.storage.ledger_group == options_.ledger_group) return;
@@ -158,10 +211,11 @@
     draft.changed = true;
 }
 
-// Those that have been filled become voters, those that have been emptied leave. A word counts only if it was
-// said in the knowledge of the present state.
+// Those that have been filled become voters. Those that have been emptied leave, one after the other, each
+// once what changed before is made good; and where those that stay bear no loss, not before others that are
+// being filled stay with them. A word counts only if it was said in the knowledge of the present state.
 void StorageMapReconciler::count_progress(Draft& draft) const {
-    std::vector<const Heard*> emptied;
+    const Heard* emptied = nullptr;
     for (StorageMember& member : draft.members()) {
         const Heard* storage = draft.heard(member.identity);
         const auto since = since_.find(member.identity);
@@ -172,12 +226,16 @@
             draft.changed = true;
         }
         if (member.state == StorageState::retiring && storage->storage_note == kEmptiedNote)
-            emptied.push_back(storage);
-    }
-    for (const Heard* storage : emptied) {
-        draft.remove(storage->info.identity);
-        remember(draft.state.retired, storage->info.node);
+            emptied = storage;
     }
+    if (!emptied || draft.changed || !earlier_voters_.empty()) return;
+    Attendance now = attendance(draft);
+    const bool more_will_stay = now.some_unfilled || !now.joining.empty();
+    if (more_will_stay && now.staying < bearing_voters()) return;
+    now.there.erase(emptied->info.identity);
+    if (!majorities_keep_one(voters_.voters(), now.there)) return;
+    draft.remove(emptied->info.identity);
+    remember(draft.state.retired, emptied->info.node);
 }
 
 // A member that joined while we watched has come to be one since the other fell silent.
@@ -191,27 +249,107 @@
     });
 }
 
+namespace {
+
+bool is_filled(const Heard* storage) { return !storage || storage->votes(); }
+
+}  // namespace
+
+Instant StorageMapReconciler::last_heard(const Draft& draft, const StorageMember& member) const {
+    const auto since = since_.find(member.identity);
+    const Instant last = std::max(sighted_, since == since_.end() ? draft.now : since->second.at);
+    const Heard* const storage = draft.heard(member.identity);
+    return storage ? std::max(last, storage->last) : last;
+}
+
+StorageMapReconciler::Attendance StorageMapReconciler::attendance(const Draft& draft) const {
+    Attendance attendance;
+    Instant earliest = Instant::max();
+    for (const StorageMember& member : draft.state.storage.members) {
+        const Instant last = last_heard(draft, member);
+        if (member.state == StorageState::joining) {
+            if (draft.now - last <= options_.present) attendance.joining.push_back(&member);
+            continue;
+        }
+        if (draft.now - last <= options_.replaced) {
+            attendance.there.insert(member.identity);
+            const bool filled = is_filled(draft.heard(member.identity));
+            if (!filled) attendance.some_unfilled = true;
+            if (filled && member.state == StorageState::member) ++attendance.staying;
+        } else if (last < earliest) {
+            earliest = last;
+            attendance.longest_silent = &member;
+        }
+    }
+    return attendance;
+}
+
+// Of the voters of the present map, and of those before it that have not been made good, no more are away
+// than may be lost at once: each turn has a copy, and each majority that decided something a voter, among
+// those that are there.
+bool StorageMapReconciler::can_do_without_absent(const Attendance& attendance) const {
+    std::vector<std::set<std::int64_t>> all = earlier_voters_;
+    all.push_back(voters_.voters());
+    return std::all_of(all.begin(), all.end(), [&](const std::set<std::int64_t>& voters) {
+        const auto lost =
+            static_cast<std::size_t>(std::count_if(voters.begin(), voters.end(), [&](std::int64_t voter) {
+                return !attendance.there.count(voter) && !emptied_.count(voter);
+            }));
+        return lost <= machine_losses() && majorities_keep_one(voters, attendance.there);
+    });
+}
+
+// Others would count on it for copies; it votes on nothing, and joins anew if it comes back.
+bool StorageMapReconciler::drop_silent_joiner(Draft& draft) const {
+    for (const StorageMember& member : draft.members()) {
+        if (member.state != StorageState::joining) continue;
+        if (draft.now - last_heard(draft, member) <= options_.replaced) continue;
+        draft.remove(member.identity);
+        return true;
+    }
+    return false;
+}
+
+// Voters that are not filled wait for the silent one just as joining members do.
+bool StorageMapReconciler::replace_silent(Draft& draft) const {
+    const Attendance now = attendance(draft);
+    if (!now.longest_silent || !can_do_without_absent(now)) return false;
+    const StorageMember silent = *now.longest_silent;
+    const bool enough_there = now.there.size() >= bearing_voters();
+    if (enough_there && (now.some_unfilled || !now.joining.empty())) {
+        draft.remove(silent.identity);
+        return true;
+    }
+    if (now.joining.empty()) return false;
+    const auto same_zone = std::find_if(now.joining.begin(), now.joining.end(),
+                                        [&](const StorageMember* one) { return one->zone == silent.zone; });
+    const std::int64_t successor =
+        (same_zone == now.joining.end() ? now.joining.front() : *same_zone)->identity;
+    draft.remove(silent.identity);
+    for (StorageMember& member : draft.members())
+        if (member.identity == successor) member.state = StorageState::member;
+    return true;
+}
+
 // One that has been silent for long, where the others bear as many losses without it, or more. One that was
 // replaced goes sooner where they bear more: its successor's time is over before it would be gone.
 void StorageMapReconciler::drop_gone(Draft& draft) const {
+    if (draft.now - dropped_ < options_.between_drops) return;
     std::size_t members = 0, heard = 0;
     std::optional<std::int64_t> gone, replaced;
     for (const StorageMember& member : draft.members()) {
-        const Heard* storage = draft.heard(member.identity);
-        const auto since = since_.find(member.identity);
-        Instant last = std::max(sighted_, since == since_.end() ? draft.now : since->second.at);
-        if (storage) last = std::max(last, storage->last);
+        if (member.state == StorageState::joining) continue;
+        const Instant last = last_heard(draft, member);
         const bool is_gone = draft.now - last > options_.gone;
         const bool is_replaced = draft.now - last > options_.replaced && has_successor(member.identity, last);
         if (is_gone) gone = member.identity;
         if (is_replaced) replaced = member.identity;
-        if (member.state == StorageState::joining) continue;
         ++members;
         if (!is_gone && !is_replaced) ++heard;
     }
     const bool plenty = heard >= options_.copies + 1;
     const bool helps = heard >= options_.copies && tolerance(heard, heard) > tolerance(members, heard) &&
-                       tolerance(members, heard) < static_cast<int>(options_.copies) - 1;
+                       tolerance(members, heard) < static_cast<int>(machine_losses());
     if (gone && (plenty || helps)) draft.remove(*gone);
     if (!gone && replaced && helps) draft.remove(*replaced);
 }
@@ -242,7 +380,7 @@
 
     if (!draft.voters_changed && majority_knows(current, storages)) {
         count_progress(draft);
-        if (!draft.changed && now - dropped_ >= options_.between_drops) drop_gone(draft);
+        if (!draft.changed && !drop_silent_joiner(draft) && !replace_silent(draft)) drop_gone(draft);
         if (!draft.changed) place_ledgers(draft);
     }
     if (!draft.changed) return std::nullopt;
--- a/src/control_plane/storage_map_reconciler.hpp
+++ b/src/control_plane/storage_map_reconciler.hpp
@@ -1,9 +1,15 @@
 // Brings the storage map in line with the storage processes that are there: found it, let new disks join,
 // count them as members once they are filled, replace wiped ones, drop those gone for good and those emptied.
 //
-// Voters that may still answer leave only once a majority of the present map's voters knows that map: a
-// caller with a map older than that finds no majority any more. Where ledgers lie on groups, that has to hold
-// in every group, also of the map before: of one group at most its minority less one may not know the map.
+// Voters that may still answer leave only once a majority of the present voters knows that it votes by these:
+// a caller with an older map and other voters finds no majority any more. Where ledgers lie on groups, that
+// has to hold in every group, also of the map before: of one group at most its minority less one may not know
+// the voters.
+//
+// A voter that is silent while a joining member is there gives its place to that one. Where enough others are
+// there it is dropped, and the joining member votes once it is filled; where they are few, the joining member
+// becomes a voter in the same epoch, so that there are never fewer voters than bear a loss. Either way the
+// joining member need not wait for what the silent one would have told it.
 //
 // Pure: it is given the register's state, who was heard, and the time; it answers with the state that is
 // wanted.
@@ -11,9 +17,12 @@
 
 #include <map>
 #include <optional>
+#include <set>
+#include <string>
 #include <vector>
 
 #include "control_plane/membership.hpp"
+#include "storage_map/ledger_placement.hpp"
 
 namespace whinledge::control_plane {
 
@@ -26,9 +35,9 @@
     struct Options {
         std::size_t copies = 2;         // of each record: machineLosses + 1
         std::int32_t ledger_group = 0;  // voters that keep a program's ledger; 0: all
-        Span present{3000};             // heard within: it is there
+        Span present{2200};             // heard within: it is there
         Span gone{8000};                // unheard for so long: it may be dropped
-        Span replaced{3200};            // the same of one whose successor is a member; above `present`
+        Span replaced{2600};            // the same where another can take its place; above `present`
         Span between_words{1000};       // a member that is there is heard at least so often
         Span between_drops{4500};       // for repair, before the next is dropped
         Span founding_quiet{400};       // nobody new for so long: all are there
@@ -37,8 +46,8 @@
     };
     explicit StorageMapReconciler(Options options) : options_(options) {}
 
-    // To be told of the newest state again and again, whoever holds the lease.
-    void observe(const wire::RegisterState& state, Instant now);
+    // To be told of the newest state, and of who was heard, again and again, whoever holds the lease.
+    void observe(const wire::RegisterState& state, const std::vector<Heard>& storages, Instant now);
     // The state that is wanted instead of `current`; none: it is as it should be.
     std::optional<wire::RegisterState> wanted(const wire::RegisterState& current,
                                               const std::vector<Heard>& storages, Instant now) const;
@@ -48,10 +57,23 @@
         std::int32_t state = wire::StorageState::joining;
         std::int64_t sequence = 0;  // the first that we saw it in
         Instant at{};
+        std::string node;
     };
     class Draft;
+    struct Attendance;
+    std::size_t machine_losses() const { return options_.copies - 1; }
+    std::size_t bearing_voters() const { return 2 * machine_losses() + 1; }
     bool majority_knows(const wire::RegisterState& current, const std::vector<Heard>& storages) const;
     void count_progress(Draft& draft) const;
+    Instant last_heard(const Draft& draft, const wire::StorageMember& member) const;
+    Attendance attendance(const Draft& draft) const;
+    void note_voters(const wire::RegisterState& state);
+    void note_departures(const wire::RegisterState& state, const std::map<std::int64_t, Since>& present,
+                         Instant now);
+    bool is_made_good(const std::vector<Heard>& storages, Instant now) const;
+    bool can_do_without_absent(const Attendance& attendance) const;
+    bool drop_silent_joiner(Draft& draft) const;
+    bool replace_silent(Draft& draft) const;
     void drop_gone(Draft& draft) const;
     bool has_successor(std::int64_t identity, Instant last_heard) const;
     void place_ledgers(Draft& draft) const;
@@ -60,8 +82,13 @@
     Options options_;
     std::map<std::int64_t, Since> since_;  // by identity, of the map's members
     Instant observed_{}, sighted_{}, dropped_{};
-    std::int64_t map_epoch_ = 0;     // of the newest map observed
-    std::int64_t map_sequence_ = 0;  // of the first state that we saw it in
+    std::int64_t map_epoch_ = 0;           // of the newest map observed
+    storage_map::LedgerPlacement voters_;  // of that map
+    std::int64_t voters_sequence_ = 0;     // of the first state that we saw these voters in
+    // Voters of the maps before, since all voters of a map were there and held all that they should; and who
+    // of them left emptied.
+    std::vector<std::set<std::int64_t>> earlier_voters_;
+    std::set<std::int64_t> emptied_;
 };
 
 }  // namespace whinledge::control_plane
--- a/src/storage_plane/storage_service.cpp
+++ b/src/storage_plane/storage_service.cpp
@@ -112,7 +112,9 @@
         feed_.on_state = [this](const wire::RegisterState& state) {
             const bool newer = state.storage.epoch > node_->map().epoch;
             node_->set_map(state.storage);
-            if (newer) step();
+            if (!newer) return;
+            step();
+            rest();  // sooner than it was going to: members that know the map later are asked again
         };
         feed_.storage_progress = [this] { return repair_.progress(); };
         feed_.start();
--- a/tests/tier/control_plane/control_fuzz_test.cpp
+++ b/tests/tier/control_plane/control_fuzz_test.cpp
@@ -321,7 +321,7 @@
     Instant now = Instant(std::chrono::hours(1));
     for (int round = 0; round < kRounds / 4; ++round, now += Span(100))
         take_mutated(state, random, [&](const wire::RegisterState& read) {
-            reconciler.observe(read, now);
+            reconciler.observe(read, {}, now);
             reconciler.wanted(read, {}, now);
         });
 }
--- a/tests/tier/control_plane/storage_map_test.cpp
+++ b/tests/tier/control_plane/storage_map_test.cpp
@@ -52,7 +52,7 @@
     }
 
     void reconcile() {
-        reconciler->observe(state, at());
+        reconciler->observe(state, membership.storages(), at());
         auto next = reconciler->wanted(state, membership.storages(), at());
         if (!next) return;
         next->sequence = state.sequence + 1;
@@ -205,6 +205,60 @@
     }
 }
 
+// RECOVER: a lost member's successor was never filled, as it waited for what the lost one would have told it,
+// and of three voters none was dropped: the next loss ended all turns.
+TEST_F(StorageMap, SuccessorTakesTheLostVotersPlace) {
+    found(day, 3);
+    day.down("c");
+    day.run(1000);
+    day.up("d", 4);
+    day.run(3000);
+    EXPECT_EQ(day.picture.str(),
+              "2550: a=1 b=2 c=3 d+4\n"
+              "3750: a=1 b=2 d=4\n")
+        << "never fewer than three voters";
+}
+
+TEST_F(StorageMap, LostVoterIsDroppedForItsSuccessorWhereEnoughAreThere) {
+    found(day, 4);
+    day.down("d");
+    day.run(1000);
+    day.up("e", 5);
+    day.run(3000);
+    EXPECT_EQ(day.picture.str(),
+              "2550: a=1 b=2 c=3 d=4 e+5\n"
+              "3750: a=1 b=2 c=3 e+5\n");
+}
+
+TEST_F(StorageMap, OfTwoTheLostOneIsReplaced) {
+    found(day, 2);
+    day.down("b");
+    day.run(1000);
+    day.up("c", 3);
+    day.run(3000);
+    EXPECT_TRUE(day.picture.str().ends_with(" a=1 c=3\n")) << day.picture.str();
+}
+
+TEST_F(StorageMap, OneSuccessorTakesOnePlace) {
+    found(day, 5);
+    day.down("d");
+    day.down("e");
+    day.run(1000);
+    day.up("f", 6);
+    day.run(6000);
+    EXPECT_EQ(day.picture.str(), "2550: a=1 b=2 c=3 d=4 e=5 f+6\n")
+        << "two are silent, one loss is to be borne";
+}
+
+TEST_F(StorageMap, SilentOneThatJoinsGoes) {
+    found(day, 3);
+    day.up("d", 4);
+    day.run(1000);
+    day.down("d");
+    day.run(4000);
+    EXPECT_TRUE(day.picture.str().ends_with(" a=1 b=2 c=3\n")) << day.picture.str();
+}
+
 // Four of five bear one loss, as four of four do.
 TEST_F(StorageMap, OneThatIsReplacedStaysAsLongAsAnyWhereItsLeavingHelpsNothing) {
     found(day, 4);
@@ -283,23 +337,39 @@
     EXPECT_EQ(day.picture.str(), "");
 }
 
+TEST_F(StorageMap, EmptiedOneStaysUntilTheSuccessorOfAnotherIsFilled) {
+    found(day, 4);
+    auto next = retiring(day.state, "d");
+    next.sequence = day.state.sequence + 1;
+    day.take(next);
+    day.down("c");
+    day.run(3000);
+    day.up("e", 5);
+    day.note("d", kEmptiedNote);
+    day.run(3000);
+    EXPECT_TRUE(day.picture.str().ends_with(" a=1 b=2 d~4 e+5\n")) << day.picture.str();
+    day.note("e", kSyncedNote);
+    day.run(1000);
+    EXPECT_TRUE(day.picture.str().ends_with(" a=1 b=2 e=5\n")) << day.picture.str();
+}
+
 TEST_F(StorageMap, RetiringOneLeavesOnceEmptied) {
-    found(day, 3);
-    auto next = retiring(day.state, "c");
+    found(day, 4);
+    auto next = retiring(day.state, "d");
     next.sequence = day.state.sequence + 1;
     day.take(next);
     day.run(2000);
-    day.note("c", kEmptiedNote);
+    day.note("d", kEmptiedNote);
     day.run(3000);
     EXPECT_EQ(day.picture.str(),
-              "1500: a=1 b=2 c~3\n"
-              "3600: a=1 b=2\n")
+              "1500: a=1 b=2 c=3 d~4\n"
+              "3600: a=1 b=2 c=3\n")
         << "and the process that is still there does not join again";
-    EXPECT_EQ(day.state.retired, std::vector<std::string>{"c"});
-    EXPECT_EQ(retirement_progress(day.state, "c"), RetirementProgress::finished);
-    day.up("c", 33);
+    EXPECT_EQ(day.state.retired, std::vector<std::string>{"d"});
+    EXPECT_EQ(retirement_progress(day.state, "d"), RetirementProgress::finished);
+    day.up("d", 44);
     day.run(600);
-    EXPECT_EQ(retirement_progress(day.state, "c"), RetirementProgress::serving) << "a new disk of that name";
+    EXPECT_EQ(retirement_progress(day.state, "d"), RetirementProgress::serving) << "a new disk of that name";
 }
 
 // ---- Ledgers on groups
--- a/tests/tier/storage_plane/storage_cluster.hpp
+++ b/tests/tier/storage_plane/storage_cluster.hpp
@@ -15,6 +15,8 @@
 #include <variant>
 #include <vector>
 
+#include "control_plane/retirement.hpp"
+#include "control_plane/storage_map_reconciler.hpp"
 #include "rpc/codec.hpp"
 #include "simulated_disk.hpp"
 #include "storage_map/wanted_holders.hpp"
@@ -56,13 +58,14 @@
     std::unique_ptr<Repair> repair;
     std::int64_t identity = 0;  // of the process; as control heard it last
     std::uint64_t life = 0;     // counts starts
+    std::uint64_t steps = 0;    // counts series of steps of its repair
     bool up = false;
     bool cut = false;     // from everything
     bool gone = false;    // for good
     bool frozen = false;  // runs nothing; what reaches it waits
     double slow_ms = 0;   // that each message takes longer at it, to begin with and until its reply leaves
     double clock_off_ms = 0;
-    double heard_ms = 0;
+    std::int64_t told_epoch = 0;  // of the newest map that control has told this life
     bool commit_planned = false;
     double link_free_ms = 0;  // what it sends waits until then
 };
@@ -91,9 +94,9 @@
     Timeline time;
     int starts_by_snapshot = 0;
     Random random;
-    wire::StorageMap map;
+    wire::RegisterState state;  // as control has it
+    wire::StorageMap& map = state.storage;
     std::vector<std::unique_ptr<Machine>> machines;
-    std::set<std::string> retired;  // nodes
     std::function<void(const wire::StorageMap&)> on_map;
     bool planted_vote_when_empty =
         false;  // a fault for the checker to find: wiped members vote at once, and nothing is repaired
@@ -140,6 +143,7 @@
         map.ledger_group = options_.ledger_group;
         for (const auto& machine : machines)
             map.members.push_back(described(*machine, wire::StorageState::member));
+        changed_map();
         control();
     }
 
@@ -147,6 +151,7 @@
         if (machine.gone || machine.up) return;
         machine.disk.recover();
         ++machine.life;
+        machine.told_epoch = 0;
         const std::uint64_t life = machine.life;
         machine.peers = std::make_unique<Peers>(*this, machine, life);
         StorageNode::Options options;
@@ -205,13 +210,32 @@
         machine.gone = true;
     }
 
-    // As the operator does it.
-    void retire(Machine& machine) {
-        for (wire::StorageMember& member : map.members)
-            if (member.identity == machine.identity && member.state == wire::StorageState::member)
-                member.state = wire::StorageState::retiring;
+    // As the operator does it, whether or not enough remain.
+    void retire(const Machine& machine) {
+        state = control_plane::retiring(state, machine.node);
         changed_map();
     }
+    // The same, where the control plane takes the order.
+    bool order_retirement(const Machine& machine) {
+        control_plane::RetirementNeeds needs;
+        needs.machine_losses = static_cast<std::size_t>(options_.machine_losses);
+        for (const control_plane::Heard& heard :
+             membership_.of_role(wire::NodeRole::storage, instant(), control_plane::Span(3000)))
+            if (heard.votes()) needs.voting.insert(heard.info.identity);
+        const auto decision = control_plane::decide_retirement(state, machine.node, needs);
+        if (decision != control_plane::RetirementDecision::begin) return false;
+        retire(machine);
+        return true;
+    }
+    bool retired(const Machine& machine) const {
+        return control_plane::retirement_progress(state, machine.node) ==
+               control_plane::RetirementProgress::finished;
+    }
+    // The process that holds the lease of the map is another one from now on, and has just started.
+    void restart_control() {
+        membership_ = control_plane::Membership();
+        reconciler_ = new_reconciler();
+    }
 
     Machine* at(const std::string& address) {
         for (const auto& machine : machines)
@@ -410,11 +434,15 @@
         time.after(between(200, 2000), [this, &machine] { start(machine); });
     }
 
-    void step(Machine& machine, std::uint64_t life) {
-        if (machine.life != life || !machine.up) return;
-        if (machine.frozen) return time.after(20, [this, &machine, life] { step(machine, life); });
+    // At once and then again and again; the steps that were planned before are not taken.
+    void step(Machine& machine, std::uint64_t life) { next_step(machine, life, ++machine.steps); }
+
+    void next_step(Machine& machine, std::uint64_t life, std::uint64_t steps) {
+        if (machine.life != life || !machine.up || machine.steps != steps) return;
+        const auto again = [this, &machine, life, steps] { next_step(machine, life, steps); };
+        if (machine.frozen) return time.after(20, again);
         if (!planted_vote_when_empty) machine.repair->step(static_cast<std::int64_t>(time.now()));
-        time.after(machine.repair->busy() ? 100 : 1000, [this, &machine, life] { step(machine, life); });
+        time.after(machine.repair->busy() ? 100 : 1000, again);
     }
 
     void tick(Machine& machine, std::uint64_t life) {
@@ -439,81 +467,72 @@
         return member;
     }
 
-    void changed_map() { ++map.epoch; }
+    // The register holds nothing else that changes.
+    void changed_map() { state.sequence = map.epoch; }
 
-    // As StorageMapReconciler has it: in every group a majority, and one more, knows the present map.
-    bool groups_know() const {
-        const storage_map::LedgerPlacement ledgers(map);
-        if (!ledgers.grouped()) return true;
-        std::set<std::int64_t> unaware = ledgers.voters();
-        for (const auto& machine : machines)
-            if (machine->up && !machine->cut && !machine->frozen &&
-                machine->process->map().epoch == map.epoch)
-                unaware.erase(machine->identity);
-        const std::size_t minority =
-            ledgers.group_size() - storage_map::reservation_majority(ledgers.group_size());
-        return ledgers.most_in_one_group(unaware) < minority;
+    bool reachable(const Machine& machine) const { return machine.up && !machine.cut && !machine.frozen; }
+
+    // What its watch tells control.
+    wire::WatchRequest watch_of(const Machine& machine) const {
+        wire::WatchRequest watch;
+        watch.who.identity = machine.identity;
+        watch.who.node = machine.node;
+        watch.who.zone = machine.zone;
+        watch.who.address = machine.address;
+        watch.who.role = wire::NodeRole::storage;
+        watch.storage_note = machine.repair->note();
+        watch.__set_storage_progress(machine.repair->progress());
+        if (planted_vote_when_empty) watch.storage_note = control_plane::kSyncedNote;
+        const wire::StorageMember* const member = machine.process->self();
+        const bool retires = member && member->state == wire::StorageState::retiring;
+        if (planted_leaves_unemptied && retires) watch.storage_note = control_plane::kEmptiedNote;
+        watch.sequence = machine.told_epoch;
+        return watch;
+    }
+
+    control_plane::Instant instant() const {
+        return control_plane::Instant(std::chrono::hours(1)) +
+               control_plane::Span(static_cast<std::int64_t>(time.now()));
+    }
+
+    control_plane::StorageMapReconciler new_reconciler() const {
+        control_plane::StorageMapReconciler::Options options;
+        options.copies = static_cast<std::size_t>(options_.machine_losses) + 1;
+        options.ledger_group = options_.ledger_group;
+        return control_plane::StorageMapReconciler(options);
     }
 
     // Keeps the map in line with the machines that are there, and tells them and the edges of it.
     void control() {
-        const wire::StorageMap before = map;
-        bool changed = false;
-        const bool voters_may_leave = groups_know();
-        for (const auto& machine : machines) {
-            if (!machine->up || machine->cut || machine->frozen) continue;
-            machine->heard_ms = time.now();
-            if (!storage_map::find_member(map, machine->identity) && !retired.count(machine->node)) {
-                std::erase_if(map.members, [&](const wire::StorageMember& member) {
-                    return member.node == machine->node;
-                });
-                map.members.push_back(described(*machine, wire::StorageState::joining));
-                changed = true;
-            }
-            if (machine->process->map().epoch != before.epoch) continue;
-            for (wire::StorageMember& member : map.members) {
-                if (member.identity != machine->identity) continue;
-                if (member.state == wire::StorageState::joining &&
-                    (machine->repair->note() == "synced" || planted_vote_when_empty)) {
-                    member.state = wire::StorageState::member;
-                    changed = true;
-                }
-                if (member.state == wire::StorageState::retiring &&
-                    (machine->repair->note() == "emptied" || planted_leaves_unemptied))
-                    retired.insert(machine->node);
-            }
-        }
-        for (const auto& machine : machines) {
-            const bool emptied =
-                retired.count(machine->node) && storage_map::find_member(map, machine->identity);
-            const bool unheard = time.now() - machine->heard_ms > 8000 &&
-                                 storage_map::find_member(map, machine->identity) &&
-                                 map.members.size() > static_cast<std::size_t>(options_.machine_losses) + 2;
-            if ((!emptied && !unheard) || !voters_may_leave) continue;
-            std::erase_if(map.members, [&](const wire::StorageMember& member) {
-                return member.identity == machine->identity;
-            });
-            if (emptied) remove_for_good(*machine);
-            changed = true;
-            break;
-        }
-        if (changed) changed_map();
-        for (const auto& machine : machines) {
-            if (!machine->up || machine->cut || machine->frozen) continue;
-            time.after(between(5, 150), [this, &machine = *machine, life = machine->life, told = map] {
-                if (machine.life != life || !machine.up || machine.cut || machine.frozen) return;
-                const bool newer = told.epoch > machine.process->map().epoch;
-                machine.process->set_map(told);
-                if (planted_vote_when_empty) machine.process->mark_filled();
-                if (newer && !planted_vote_when_empty)
-                    machine.repair->step(static_cast<std::int64_t>(time.now()));
-            });
+        for (const auto& machine : machines)
+            if (reachable(*machine)) membership_.hear(watch_of(*machine), instant());
+        reconciler_.observe(state, membership_.storages(), instant());
+        if (auto next = reconciler_.wanted(state, membership_.storages(), instant())) {
+            state = std::move(*next);
+            changed_map();
         }
+        for (const auto& machine : machines)
+            if (!machine->gone && retired(*machine)) remove_for_good(*machine);
+        for (const auto& machine : machines) tell_map(*machine);
         if (on_map) on_map(map);
         time.after(200, [this] { control(); });
     }
 
+    void tell_map(Machine& machine) {
+        if (!reachable(machine)) return;
+        time.after(between(5, 150), [this, &machine, life = machine.life, told = map] {
+            if (machine.life != life || !reachable(machine)) return;
+            const bool newer = told.epoch > machine.process->map().epoch;
+            machine.process->set_map(told);
+            machine.told_epoch = std::max(machine.told_epoch, told.epoch);
+            if (planted_vote_when_empty) machine.process->mark_filled();
+            if (newer) step(machine, life);
+        });
+    }
+
     ClusterOptions options_;
+    control_plane::Membership membership_;
+    control_plane::StorageMapReconciler reconciler_ = new_reconciler();
 };
 
 // An edge process whose calls go to the cluster's machines.
