Storage: holders of a chain are told when another program goes on from it

Cause: members keep what they hold by program, and a turn that begins tells them of its own program alone. Another program's turns in its chain were prolonged only at members that got a copy of the new turn; where no budget is stated nobody was told at all.

Now the holders of what a turn continues are told as it begins, by the program under which they keep it, again and again until they have taken it, for as long as the turn can last. It works because that program's name is what members let go by. Turns that continue their own program's, with a budget and without groups, send nothing more than before.

--- a/src/data_plane/exchange.cpp
+++ b/src/data_plane/exchange.cpp
@@ -80,8 +80,10 @@
                   request_.route->remembered ? Turn::Kept::record : Turn::Kept::tokens_only);
     stage_from_ = host_.clock.now();
     beginning_ = true;
+    storage_plane::TurnStart start = turn_->start();
+    start.longest_ms = time_left();
     host_.turns.begin(
-        turn_->start(), kBeginShare * time_left(),
+        start, kBeginShare * time_left(),
         [self = shared_from_this()](storage_plane::BegunTurn turn) { self->begun(std::move(turn)); });
 }
 
--- a/src/storage_plane/turn_begin.cpp
+++ b/src/storage_plane/turn_begin.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <cmath>
 #include <optional>
 #include <set>
 
@@ -11,6 +12,12 @@
 
 using wire::StorageStatus;
 
+namespace {
+
+constexpr double kMsPerS = 1000;
+
+}  // namespace
+
 // Reserves the most that a turn can put out and finds the chain it continues.
 class TurnQuorum::BeginOperation : public Operation {
 public:
@@ -61,7 +68,7 @@
         if (budget == Budget::in_doubt || chain == ChainSearch::Verdict::broken)
             return finish({BeginStatus::unavailable, {}});
         if (chain == ChainSearch::Verdict::absent) return finish({BeginStatus::no_such_turn, {}});
-        if (budget == Budget::holds && chain == ChainSearch::Verdict::here) return go_on(now_ms);
+        if (budget == Budget::holds && chain == ChainSearch::Verdict::here) return go_on();
         if (now_ms >= deadline_ms()) return finish({BeginStatus::unavailable, {}});
         wake_by(deadline_ms());
         if (has_budget()) reserve(now_ms);
@@ -262,9 +269,9 @@
         }
     }
 
-    void go_on(double now_ms) {
+    void go_on() {
         BegunTurn begun{BeginStatus::ok, chain_.records()};
-        if (ledgers().grouped()) keep_chain(begun.chain, now_ms);
+        if (!begun.chain.empty()) keep_chain(begun.chain);
         finish(std::move(begun));
     }
 
@@ -295,19 +302,19 @@
         end_here();
     }
 
-    // Holders of earlier turns that do not keep the ledger hear that their program goes on: a chain lasts as
-    // long as its newest turn. Nobody waits for it; repair tells them as well once the turn has ended.
-    void keep_chain(const std::vector<wire::TurnRecord>& chain, double now_ms) {
-        std::set<std::int64_t> holders;
-        for (const wire::TurnRecord& record : chain)
-            holders.insert(record.holders.begin(), record.holders.end());
-        for (const wire::StorageMember& member : map().members) {
-            if (holders.count(member.identity) == 0) continue;
-            if (has_budget() && group_.count(member.identity) > 0) continue;
-            wire::BeginTurnRequest request = reservation();
-            request.reserve = 0;
-            send(member, std::move(request), options().begin_patience_ms, now_ms, Asked());
+    // A chain lasts as long as its newest turn. Members that were asked for a reservation know that this
+    // turn's own program goes on; of other programs that the chain comes from, and where ledgers lie on
+    // groups, they don't.
+    void keep_chain(const std::vector<wire::TurnRecord>& records) {
+        KeptChain chain;
+        chain.by_turn = start_.turn;
+        chain.keep_for_s = start_.keep_for_s + static_cast<int>(std::ceil(start_.longest_ms / kMsPerS));
+        const bool all_know = has_budget() && !ledgers().grouped();
+        for (const wire::TurnRecord& record : records) {
+            if (all_know && record.program == start_.program) continue;
+            chain.turns.push_back({record.id, program_name(record), record.holders});
         }
+        if (!chain.turns.empty()) keep(std::move(chain));
     }
 
     TurnStart start_;
--- a/src/storage_plane/turn_operation.hpp
+++ b/src/storage_plane/turn_operation.hpp
@@ -119,6 +119,7 @@
     }
 
     void cancel(const TurnStart& turn);
+    void keep(KeptChain chain) { quorum_.kept_chains_.push_back(std::move(chain)); }
 
     void forget_ledger(const std::string& turn) { quorum_.without_ledger_.erase(turn); }
 
--- a/src/storage_plane/turn_quorum.cpp
+++ b/src/storage_plane/turn_quorum.cpp
@@ -25,7 +25,7 @@
         ids.push_back(id);
     }
     for (const std::uint64_t id : ids) step(id, now_ms);
-    start_cancellations(now_ms);
+    start_later_operations(now_ms);
 }
 
 std::uint64_t TurnQuorum::begin(const TurnStart& turn, double timeout_ms, double now_ms) {
@@ -44,7 +44,7 @@
     operation->name(id);
     operations_.emplace(id, std::move(operation));
     step(id, now_ms);
-    start_cancellations(now_ms);
+    start_later_operations(now_ms);
     return id;
 }
 
@@ -76,7 +76,7 @@
     if (operation == operations_.end()) return;
     operation->second->replied(asked, reply, now_ms);
     step(asked.operation, now_ms);
-    start_cancellations(now_ms);
+    start_later_operations(now_ms);
 }
 
 // A member that is slow, for its disk say, may answer every call after the patience for it: were these
@@ -107,7 +107,7 @@
         operation->second->clear_wake();
         step(id, now_ms);
     }
-    start_cancellations(now_ms);
+    start_later_operations(now_ms);
 }
 
 void TurnQuorum::step(std::uint64_t id, double now_ms) {
@@ -130,9 +130,11 @@
     }
 }
 
-void TurnQuorum::start_cancellations(double now_ms) {
+void TurnQuorum::start_later_operations(double now_ms) {
     for (const TurnEnd& end : std::exchange(cancellations_, {}))
         start(end_operation(end, true, now_ms, now_ms), now_ms);
+    for (KeptChain& chain : std::exchange(kept_chains_, {}))
+        start(keep_operation(std::move(chain), now_ms), now_ms);
 }
 
 void TurnQuorum::bound_background() {
--- a/src/storage_plane/turn_quorum.hpp
+++ b/src/storage_plane/turn_quorum.hpp
@@ -113,6 +113,18 @@
     class Operation;
     class BeginOperation;
     class EndOperation;
+    class KeepOperation;
+
+    // What a turn that was begun continues.
+    struct KeptTurn {
+        std::string id, program;  // under which members keep it
+        std::vector<std::int64_t> holders;
+    };
+    struct KeptChain {
+        std::string by_turn;
+        std::vector<KeptTurn> turns;
+        int keep_for_s = 0;  // from now on
+    };
 
     // What a send was for.
     struct Asked {
@@ -132,9 +144,10 @@
     std::unique_ptr<Operation> begin_operation(const TurnStart& turn, double now_ms, double deadline_ms);
     std::unique_ptr<Operation> end_operation(const TurnEnd& turn, bool has_ledger, double now_ms,
                                              double deadline_ms);
+    std::unique_ptr<Operation> keep_operation(KeptChain chain, double now_ms);
     std::uint64_t start(std::unique_ptr<Operation> operation, double now_ms);
     void step(std::uint64_t operation, double now_ms);
-    void start_cancellations(double now_ms);
+    void start_later_operations(double now_ms);
     void give_up_waiting(double now_ms);
     void note_pace(const Asked& asked, double now_ms);
     void take_reply(const Asked& asked, const TurnReply& reply, double now_ms);
@@ -155,6 +168,7 @@
     std::priority_queue<Wake, std::vector<Wake>, std::greater<>> wakes_;
     std::deque<std::uint64_t> background_;
     std::vector<TurnEnd> cancellations_;
+    std::vector<KeptChain> kept_chains_;
     std::vector<TurnSend> sends_;
     std::vector<TurnOutcome> outcomes_;
     TurnCounters counters_;
--- a/src/storage_plane/turn_store.cpp
+++ b/src/storage_plane/turn_store.cpp
@@ -27,10 +27,6 @@
     return std::int64_t{std::clamp<std::int32_t>(keep_for_s, 0, kMostKeepForS)} * 1000 + kKeepMarginMs;
 }
 
-std::string program_name(const wire::TurnRecord& record) {
-    return record.program.empty() ? "\n" + record.id : record.program;
-}
-
 std::size_t body_size(const wire::TurnRecord& record) { return record.input.size() + record.output.size(); }
 
 std::uint64_t digest_of(const wire::TurnRecord& record) {
--- a/src/storage_plane/turn_store.hpp
+++ b/src/storage_plane/turn_store.hpp
@@ -19,6 +19,7 @@
 #include "storage_plane/digest_summary.hpp"
 #include "storage_plane/ledger_merge.hpp"
 #include "storage_plane/segment_log.hpp"
+#include "storage_plane/turn_types.hpp"
 #include "storage_types.h"  // generated from idl/storage.thrift
 
 namespace whinledge::storage_plane {
@@ -164,8 +165,6 @@
     std::size_t cached_bytes_ = 0;
 };
 
-// The name under which a record's program is kept: turns without one stand alone.
-std::string program_name(const wire::TurnRecord& record);
 // Bytes of what it holds of its conversation.
 std::size_t body_size(const wire::TurnRecord& record);
 // Of a record's bytes, whoever holds it.
--- a/src/storage_plane/turn_types.hpp
+++ b/src/storage_plane/turn_types.hpp
@@ -9,6 +9,11 @@
 
 namespace whinledge::storage_plane {
 
+// The name under which a record's program is kept: turns without one stand alone.
+inline std::string program_name(const wire::TurnRecord& record) {
+    return record.program.empty() ? "\n" + record.id : record.program;
+}
+
 enum class BeginStatus {
     ok,
     budget_spent,  // 402: for certain, and nothing is reserved
@@ -23,6 +28,7 @@
     std::int64_t budget = 0;  // tokens of the whole program; 0: none stated
     std::int64_t most = 0;    // tokens that this turn can put out at most
     int keep_for_s = 0;
+    double longest_ms = 0;  // that this turn can last: what it continues is kept from its end on
 };
 
 struct BegunTurn {
