Programs: a signal that comes before their handlers is held back

Cause: SIGHUP ends a process that has no handler for it, and handlers were there only once the settings were read and the log was begun.

Now SIGHUP, SIGTERM and SIGINT are blocked from main's first step on and let through once the handlers are there. It works because a blocked signal waits; threads started meanwhile inherit the mask, so the loop's thread gets them.

Evidence: LogStall.ASighupFromBeforeItsFirstStepIsHandled waited in vain for 12 s with the proxy before, and passes for all three programs.

--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -16,6 +16,7 @@
 #include "app/config.hpp"
 #include "app/services.hpp"
 #include "app/sidecar.hpp"
+#include "io/held_signals.hpp"
 
 namespace {
 
@@ -71,10 +72,11 @@
     });
 }
 
-int run(const std::function<Runner(boost::asio::io_context&)>& make) {
+int run(whinledge::HeldSignals& held, const std::function<Runner(boost::asio::io_context&)>& make) {
     boost::asio::io_context io(1);
     // Signals first: one that comes while it starts waits for it.
     boost::asio::signal_set hangups(io, SIGHUP), signals(io, SIGTERM, SIGINT);
+    held.release();
     const Runner runner = make(io);
     on_hangup(hangups, runner);
     on_end(signals, io, runner);
@@ -87,8 +89,8 @@
     return 0;
 }
 
-int run_platform() {
-    return run([](boost::asio::io_context& io) {
+int run_platform(whinledge::HeldSignals& held) {
+    return run(held, [](boost::asio::io_context& io) {
         const auto sidecar = std::make_shared<whinledge::Sidecar>(io, configuration());
         return Runner{[sidecar] { sidecar->reload(configuration()); },
                       [sidecar](std::function<void()> done) { sidecar->drain(std::move(done)); },
@@ -96,8 +98,8 @@
     });
 }
 
-int run_services(const std::string& path) {
-    return run([path](boost::asio::io_context& io) {
+int run_services(whinledge::HeldSignals& held, const std::string& path) {
+    return run(held, [path](boost::asio::io_context& io) {
         const std::shared_ptr<whinledge::ServicesRunner> runner = whinledge::run_services(io, path);
         return Runner{[runner] { runner->reload(); },
                       [runner](std::function<void()> done) { runner->drain(std::move(done)); },
@@ -108,7 +110,7 @@
 // What there is to say on the command line; `run` becomes what was asked for.
 class CommandLine {
 public:
-    CommandLine() {
+    explicit CommandLine(whinledge::HeldSignals& held) : held_(held) {
         app_.set_version_flag("--version", "whinledge " WHINLEDGE_VERSION);
         app_.footer(kStatus);
         app_.require_subcommand(0, 1);
@@ -118,7 +120,7 @@
         app_.callback([this, config] {
             if (!app_.get_subcommands().empty() && config->count() > 0)
                 throw CLI::ValidationError("--config", "not with a command");
-            if (config->count() > 0) run = [this] { return run_services(file_); };
+            if (config->count() > 0) run = [this] { return run_services(held_, file_); };
         });
         add_check();
         add_fleet();
@@ -135,8 +137,12 @@
         auto* const check = app_.add_subcommand(
             "check", "Says what is wrong with a services file, or prints what it makes of it");
         check->add_option("FILE", file_, "A services file")->required();
-        check->callback(
-            [this] { run = [this] { return whinledge::check_services(file_, std::cout, std::cerr); }; });
+        check->callback([this] {
+            run = [this] {
+                held_.release();
+                return whinledge::check_services(file_, std::cout, std::cerr);
+            };
+        });
     }
     void add_fleet() {
         auto* const fleet = app_.add_subcommand("fleet", "Asks a running process about its fleet");
@@ -153,10 +159,15 @@
             ->type_name("PATH")
             ->required();
         command->add_flag("--json", question_.json, "One JSON object on a line");
-        command->callback(
-            [this, ask] { run = [this, ask] { return ask(question_, std::cout, std::cerr); }; });
+        command->callback([this, ask] {
+            run = [this, ask] {
+                held_.release();
+                return ask(question_, std::cout, std::cerr);
+            };
+        });
     }
 
+    whinledge::HeldSignals& held_;
     CLI::App app_{kAbout, "whinledge"};
     std::string file_;
     whinledge::Question question_;
@@ -164,8 +175,9 @@
 
 // The platform's sidecar has no arguments and no use for their parser.
 int command(int count, char** words) {
-    if (count == 1) return run_platform();
-    CommandLine line;
+    whinledge::HeldSignals held{SIGHUP, SIGTERM, SIGINT};
+    if (count == 1) return run_platform(held);
+    CommandLine line(held);
     try {
         line.parse(count, words);
     } catch (const CLI::ParseError& error) {
--- a/src/programs/hosted_service.cpp
+++ b/src/programs/hosted_service.cpp
@@ -12,6 +12,7 @@
 #include <utility>
 #include <vector>
 
+#include "io/held_signals.hpp"
 #include "io/loop_timer.hpp"
 #include "io/loop_watch.hpp"
 #include "programs/daemon_log.hpp"
@@ -68,7 +69,9 @@
           watch_(path_),
           service_(daemon.start(io_, settings)) {}
 
-    void run() {
+    // `held`: the signals that it handles, which may come from now on.
+    void run(HeldSignals& held) {
+        held.release();
         ends_.async_wait([this](boost::system::error_code failed, int) {
             if (!failed) service_->terminate([this] { io_.stop(); });
         });
@@ -139,7 +142,7 @@
     int looks_ = 0;
 };
 
-int run(int argc, char** argv, const Daemon& daemon) {
+int run(int argc, char** argv, const Daemon& daemon, HeldSignals& held) {
     auto options = docopt::docopt(usage_of(daemon), {argv + 1, argv + argc});
     if (options["--help-settings"].asBool()) {
         std::cout << node::settings_help();
@@ -162,18 +165,19 @@
         std::cerr << *fault << "\n";
         return EXIT_FAILURE;
     }
-    if (!options["--check"].asBool()) Host(daemon, path, overrides, settings.value()).run();
+    if (!options["--check"].asBool()) Host(daemon, path, overrides, settings.value()).run(held);
     return EXIT_SUCCESS;
 }
 
 }  // namespace
 
 int run_daemon(int argc, char** argv, const Daemon& daemon) {
+    HeldSignals held{SIGHUP, SIGTERM, SIGINT};
     FLAGS_logtostderr = true;  // until the settings are known
     google::InitGoogleLogging(argv[0]);
     std::signal(SIGPIPE, SIG_IGN);
     try {
-        return run(argc, argv, daemon);
+        return run(argc, argv, daemon, held);
     } catch (const std::exception& error) {
         std::cerr << daemon.name << " can't run: " << error.what() << "\n";
         return EXIT_FAILURE;
--- a/tests/tier/system/log_stall_test.cpp
+++ b/tests/tier/system/log_stall_test.cpp
@@ -102,10 +102,18 @@
         std::filesystem::remove_all(folder);
     }
 
-    void start() {
+    // `pending`: a signal that has come for it before its first step; 0: none.
+    void start(int pending = 0) {
         const std::string settings = folder / "settings";
         child = ::fork();
         if (child != 0) return log.close_writer();
+        if (pending != 0) {
+            sigset_t blocked;
+            ::sigemptyset(&blocked);
+            ::sigaddset(&blocked, pending);
+            ::sigprocmask(SIG_BLOCK, &blocked, nullptr);
+            ::raise(pending);
+        }
         ::prctl(PR_SET_PDEATHSIG, SIGKILL);
         ::dup2(log.writer(), STDERR_FILENO);
         ::execl(GetParam().path, GetParam().path, "--settings", settings.c_str(),
@@ -192,6 +200,14 @@
     EXPECT_EQ(await_end(), 0);
 }
 
+// LOST: a SIGHUP right after a start ended the process, and with it what it had accepted.
+TEST_P(LogStall, ASighupFromBeforeItsFirstStepIsHandled) {
+    start(SIGHUP);
+    const std::string read_again = "the settings were read again";
+    EXPECT_NE(log.read_until(read_again).find(read_again), std::string::npos);
+    EXPECT_EQ(end(), 0);
+}
+
 INSTANTIATE_TEST_SUITE_P(Programs, LogStall,
                          testing::Values(Program{"proxy", WHINLEDGE_PROXY, "edge", kReadinessPort, "/ready"},
                                          Program{"control", WHINLEDGE_CONTROL, "control", kControlPort,
