Storage map: a retiring machine that joins anew goes on retiring

Cause: another disk at its place joins as a new member, and the order was known of the old one alone. The same of one that was dropped as silent and came back.

Now the keeper of the map remembers nodes whose order is not finished, and lets such a member retire again once it is filled and enough others stay.

Evidence: StorageMap.RetiringOneThatLosesItsDiskGoesOnRetiring (without the change d stays a member).

--- a/src/control_plane/storage_map_reconciler.cpp
+++ b/src/control_plane/storage_map_reconciler.cpp
@@ -97,6 +97,9 @@
     }
     note_departures(state, since, now);
     since_ = std::move(since);
+    for (const auto& [identity, member] : since_)
+        if (member.state == StorageState::retiring) retiring_nodes_.insert(member.node);
+    for (const std::string& node : state.retired) retiring_nodes_.erase(node);
     if (earlier_voters_.empty() || !is_made_good(storages, now)) return;
     earlier_voters_.clear();
     emptied_.clear();
@@ -354,6 +357,17 @@
     if (!gone && replaced && helps) draft.remove(*replaced);
 }
 
+// One that lost its disk, or was dropped, while it was being emptied has joined anew: the order still stands.
+void StorageMapReconciler::resume_retirements(Draft& draft) const {
+    for (StorageMember& member : draft.members()) {
+        if (member.state != StorageState::member || retiring_nodes_.count(member.node) == 0) continue;
+        if (attendance(draft).staying <= bearing_voters()) return;
+        member.state = StorageState::retiring;
+        draft.changed = true;
+        return;
+    }
+}
+
 std::optional<wire::RegisterState> StorageMapReconciler::wanted(const wire::RegisterState& current,
                                                                 const std::vector<Heard>& storages,
                                                                 Instant now) const {
@@ -381,6 +395,7 @@
     if (!draft.voters_changed && majority_knows(current, storages)) {
         count_progress(draft);
         if (!draft.changed && !drop_silent_joiner(draft) && !replace_silent(draft)) drop_gone(draft);
+        if (!draft.changed) resume_retirements(draft);
         if (!draft.changed) place_ledgers(draft);
     }
     if (!draft.changed) return std::nullopt;
--- a/src/control_plane/storage_map_reconciler.hpp
+++ b/src/control_plane/storage_map_reconciler.hpp
@@ -77,6 +77,7 @@
     void drop_gone(Draft& draft) const;
     bool has_successor(std::int64_t identity, Instant last_heard) const;
     void place_ledgers(Draft& draft) const;
+    void resume_retirements(Draft& draft) const;
     bool found(Draft& draft) const;
 
     Options options_;
@@ -89,6 +90,8 @@
     // of them left emptied.
     std::vector<std::set<std::int64_t>> earlier_voters_;
     std::set<std::int64_t> emptied_;
+    std::set<std::string>
+        retiring_nodes_;  // whose order is not finished, though they may have left meanwhile
 };
 
 }  // namespace whinledge::control_plane
--- a/tests/tier/control_plane/storage_map_test.cpp
+++ b/tests/tier/control_plane/storage_map_test.cpp
@@ -353,6 +353,23 @@
     EXPECT_TRUE(day.picture.str().ends_with(" a=1 b=2 e=5\n")) << day.picture.str();
 }
 
+// The operator waits for `finished`, whatever happens to the machine meanwhile.
+TEST_F(StorageMap, RetiringOneThatLosesItsDiskGoesOnRetiring) {
+    found(day, 4);
+    auto next = retiring(day.state, "d");
+    next.sequence = day.state.sequence + 1;
+    day.take(next);
+    day.run(500);
+    day.up("d", 44);
+    day.run(1000);
+    day.note("d", kSyncedNote);
+    day.run(1500);
+    EXPECT_TRUE(day.picture.str().ends_with(" a=1 b=2 c=3 d~44\n")) << day.picture.str();
+    day.note("d", kEmptiedNote);
+    day.run(1500);
+    EXPECT_EQ(retirement_progress(day.state, "d"), RetirementProgress::finished);
+}
+
 TEST_F(StorageMap, RetiringOneLeavesOnceEmptied) {
     found(day, 4);
     auto next = retiring(day.state, "d");
