Storage: a turn that continues its own program's tells no holder of it

Cause: the mend of shared chains told holders as well where no budget is stated and the chain is of the turn's own program.

Change: only other programs' turns are told of, and where ledgers lie on groups.

--- a/src/storage_plane/turn_begin.cpp
+++ b/src/storage_plane/turn_begin.cpp
@@ -302,16 +302,15 @@
         end_here();
     }
 
-    // A chain lasts as long as its newest turn. Members that were asked for a reservation know that this
-    // turn's own program goes on; of other programs that the chain comes from, and where ledgers lie on
-    // groups, they don't.
+    // A chain lasts as long as its newest turn. Of this turn's own program its members hear by themselves,
+    // from the reservation and from the copies of its end; of other programs that the chain comes from, and
+    // where ledgers lie on groups, some don't.
     void keep_chain(const std::vector<wire::TurnRecord>& records) {
         KeptChain chain;
         chain.by_turn = start_.turn;
         chain.keep_for_s = start_.keep_for_s + static_cast<int>(std::ceil(start_.longest_ms / kMsPerS));
-        const bool all_know = has_budget() && !ledgers().grouped();
         for (const wire::TurnRecord& record : records) {
-            if (all_know && record.program == start_.program) continue;
+            if (record.program == start_.program && !ledgers().grouped()) continue;
             chain.turns.push_back({record.id, program_name(record), record.holders});
         }
         if (!chain.turns.empty()) keep(std::move(chain));
