Storage map: an earlier change is made good once each voter has said so

Cause (read again): a change counted as made good only while all voters lacked nothing at one moment. Under traffic, with many members, some are always about to pull a turn that was just written; until then no emptied machine may leave.

Change: each voter has to say once, under the present voters, that it votes and lacks nothing. The five refused tries of two checker tests stand once.

--- a/src/control_plane/storage_map_reconciler.cpp
+++ b/src/control_plane/storage_map_reconciler.cpp
@@ -100,7 +100,7 @@
     for (const auto& [identity, member] : since_)
         if (member.state == StorageState::retiring) retiring_nodes_.insert(member.node);
     for (const std::string& node : state.retired) retiring_nodes_.erase(node);
-    if (earlier_voters_.empty() || !is_made_good(storages, now)) return;
+    if (earlier_voters_.empty() || !is_made_good(storages)) return;
     earlier_voters_.clear();
     emptied_.clear();
 }
@@ -108,7 +108,10 @@
 void StorageMapReconciler::note_voters(const wire::RegisterState& state) {
     if (state.storage.epoch == map_epoch_) return;
     storage_map::LedgerPlacement voters(state.storage);
-    if (map_epoch_ == 0 || !(voters == voters_)) voters_sequence_ = state.sequence;
+    if (map_epoch_ == 0 || !(voters == voters_)) {
+        voters_sequence_ = state.sequence;
+        complete_.clear();
+    }
     if (map_epoch_ != 0 && voters.voters() != voters_.voters()) earlier_voters_.push_back(voters_.voters());
     if (earlier_voters_.size() > kMostEarlierVoters) earlier_voters_.erase(earlier_voters_.begin() + 1);
     voters_ = std::move(voters);
@@ -126,17 +129,18 @@
     }
 }
 
-// All voters are there, vote, and hold all that they should, as far as they say.
-bool StorageMapReconciler::is_made_good(const std::vector<Heard>& storages, Instant now) const {
-    std::set<std::int64_t> wanting = voters_.voters();
+// Each voter has said once, under the present voters, that it holds all that it should. Not all at the same
+// moment: of many some are always about to pull a turn that was just written.
+bool StorageMapReconciler::is_made_good(const std::vector<Heard>& storages) {
     for (const Heard& storage : storages) {
-        const bool there = now - storage.last <= options_.replaced && storage.sequence >= voters_sequence_;
+        if (storage.sequence < voters_sequence_) continue;
         const auto& progress = storage.storage_progress;
         const bool complete = !progress || (progress->voting && progress->lacking_turns == 0 &&
                                             progress->unfollowed_members == 0);
-        if (there && complete) wanting.erase(storage.info.identity);
+        if (complete) complete_.insert(storage.info.identity);
     }
-    return wanting.empty();
+    return std::includes(complete_.begin(), complete_.end(), voters_.voters().begin(),
+                         voters_.voters().end());
 }
 
 // Nothing can have been written yet: all who are there are members at once.
--- a/src/control_plane/storage_map_reconciler.hpp
+++ b/src/control_plane/storage_map_reconciler.hpp
@@ -70,7 +70,7 @@
     void note_voters(const wire::RegisterState& state);
     void note_departures(const wire::RegisterState& state, const std::map<std::int64_t, Since>& present,
                          Instant now);
-    bool is_made_good(const std::vector<Heard>& storages, Instant now) const;
+    bool is_made_good(const std::vector<Heard>& storages);
     bool can_do_without_absent(const Attendance& attendance) const;
     bool drop_silent_joiner(Draft& draft) const;
     bool replace_silent(Draft& draft) const;
@@ -86,8 +86,9 @@
     std::int64_t map_epoch_ = 0;           // of the newest map observed
     storage_map::LedgerPlacement voters_;  // of that map
     std::int64_t voters_sequence_ = 0;     // of the first state that we saw these voters in
-    // Voters of the maps before, since all voters of a map were there and held all that they should; and who
-    // of them left emptied.
+    // Of the present voters, those that have said since they are so that they vote and lack nothing.
+    std::set<std::int64_t> complete_;
+    // Voters of the maps before, since all voters of a map were complete; and who of them left emptied.
     std::vector<std::set<std::int64_t>> earlier_voters_;
     std::set<std::int64_t> emptied_;
     std::set<std::string>
--- a/tests/tier/control_plane/storage_map_test.cpp
+++ b/tests/tier/control_plane/storage_map_test.cpp
@@ -36,6 +36,8 @@
     }
     void down(const std::string& node) { processes[node].up = false; }
     void note(const std::string& node, const std::string& text) { processes[node].note = text; }
+    // That it is about to pull.
+    void lacks(const std::string& node, std::int64_t turns) { processes[node].lacking = turns; }
     // Told a moment before a change reached it.
     void stale_note(const std::string& node, const std::string& text, std::int64_t sequence) {
         processes[node].note = text;
@@ -83,11 +85,16 @@
         std::string note;
         bool up = false;
         std::int64_t stuck_at = 0;
+        std::int64_t lacking = 0;
     };
     void watch(const Process& process) {
         wire::WatchRequest request;
         request.who = process.info;
         request.storage_note = process.note;
+        wire::StorageProgress progress;
+        progress.voting = true;
+        progress.lacking_turns = process.lacking;
+        request.__set_storage_progress(progress);
         request.sequence = process.stuck_at ? process.stuck_at : state.sequence;
         membership.hear(request, at());
     }
@@ -353,6 +360,26 @@
     EXPECT_TRUE(day.picture.str().ends_with(" a=1 b=2 e=5\n")) << day.picture.str();
 }
 
+// An earlier change is made good, though at no moment all of them lack nothing.
+TEST_F(StorageMap, EmptiedOneLeavesUnderTraffic) {
+    found(day, 4);
+    day.lacks("a", 1);
+    day.up("e", 5);
+    day.note("e", kSyncedNote);
+    day.run(1000);
+    auto next = retiring(day.state, "d");
+    next.sequence = day.state.sequence + 1;
+    day.take(next);
+    day.run(1000);
+    day.note("d", kEmptiedNote);
+    day.run(2000);
+    EXPECT_TRUE(day.picture.str().ends_with(" a=1 b=2 c=3 d~4 e=5\n")) << day.picture.str();
+    day.lacks("b", 1);
+    day.lacks("a", 0);
+    day.run(1500);
+    EXPECT_TRUE(day.picture.str().ends_with(" a=1 b=2 c=3 e=5\n")) << day.picture.str();
+}
+
 // The operator waits for `finished`, whatever happens to the machine meanwhile.
 TEST_F(StorageMap, RetiringOneThatLosesItsDiskGoesOnRetiring) {
     found(day, 4);
--- a/tests/tier/system/checker_test.cpp
+++ b/tests/tier/system/checker_test.cpp
@@ -73,6 +73,16 @@
         one.events = {{1, "one"}, {2, "two"}};
         return one;
     }
+    // Of a turn that continues the first.
+    void refuse_five_tries() {
+        for (int i = 0; i < 5; ++i) {
+            Try& one = turn("n" + std::to_string(i), "t1", " again", 4000 + 300 * i);
+            one.status = 503;
+            one.seal.clear();
+            one.events.clear();
+            one.servers_idle = true;
+        }
+    }
     // One that was passed on to a server and cut after 50 ms.
     tier_rig::Run& cut_midway(Millis at) {
         Try& one = ask("c" + std::to_string(record.tries.size()), "/book/a", RouteKind::one_shot, at);
@@ -413,23 +423,11 @@
     expect_calm();
 }
 TEST_F(CheckerTest, TurnThatReachesNoServer) {
-    for (int i = 0; i < 5; ++i) {
-        Try& one = turn("n" + std::to_string(i), "t1", " again", 4000 + 300 * i);
-        one.status = 503;
-        one.seal.clear();
-        one.events.clear();
-        one.servers_idle = true;
-    }
+    refuse_five_tries();
     expect("LOST");
 }
 TEST_F(CheckerTest, TurnThatReachesAServerAtLast) {
-    for (int i = 0; i < 5; ++i) {
-        Try& one = turn("n" + std::to_string(i), "t1", " again", 4000 + 300 * i);
-        one.status = 503;
-        one.seal.clear();
-        one.events.clear();
-        one.servers_idle = true;
-    }
+    refuse_five_tries();
     Try& last = turn("n5", "t1", " again", 6000);
     run_of(last, "chat").body = "helloone\ntwo\n again";
     expect_calm();
