Answers without a length end with their connection, whole or cut off, whatever their status

Cause: whether an answer is whole was decided in five places. Where a call did not take answers that end with their connection (`by_close`), the reader refused a 200 and gave out any other status at its head. Of a failed attempt's answer that was cut off the head was kept and passed for a whole one.

`Upstream::End` has an answer only if it is whole. An answer's outcome is asked once, of its head (a 421 counted twice before). Refusals with a proof are taken at their head as before.

`Web.AnErrorWithoutEndIsNotKept` wanted the status 500 with a body that was dropped: it is 502.

--- a/src/data_plane/exchange.cpp
+++ b/src/data_plane/exchange.cpp
@@ -341,9 +341,7 @@
 }
 
 void Exchange::errored(std::unique_ptr<Answer> answer) noexcept {
-    std::unique_ptr<HttpAnswer> failed(static_cast<HttpAnswer*>(answer.release()));
-    // One that broke off is empty: its client must not take a part for the whole.
-    if (failed && failed->message.result_int() >= 400) last_ = std::move(failed);
+    last_.reset(static_cast<HttpAnswer*>(answer.release()));
 }
 
 // For a request that can't be repeated this is proof: it never ran, and never will.
--- a/src/data_plane/exchange.hpp
+++ b/src/data_plane/exchange.hpp
@@ -105,6 +105,7 @@
     std::size_t answer_limit() const override { return 0; }
     bool waits_for_unknown_length() const override { return !streams(); }
     bool head_only() const override;
+    bool keeps_failed_answers() const override { return true; }
     bool begins_when_whole() const override { return false; }
     std::optional<Millis> answer_time_left() const override { return time_left(); }
     bool may_start(std::uint32_t attempt) const noexcept override;
--- a/src/data_plane/ingress.cpp
+++ b/src/data_plane/ingress.cpp
@@ -8,6 +8,7 @@
 #include <optional>
 #include <utility>
 
+#include "http/answer_end.hpp"
 #include "http/chunks.hpp"
 #include "http/client_connection.hpp"
 #include "http/message.hpp"
@@ -29,7 +30,6 @@
 const serving::ClientLimits kLimitsAtFirst;
 
 std::string_view view(boost::beast::string_view text) { return {text.data(), text.size()}; }
-bool is_bodiless(unsigned status) { return status / 100 == 1 || status == 204 || status == 304; }
 
 std::string seconds(Millis length) {
     char text[32];
@@ -71,11 +71,8 @@
 
     void whole(HttpAnswer& answer) override {
         HeadText head = head_of(answer.message);
-        const unsigned status = answer.message.result_int();
-        const bool bodiless = is_bodiless(status);
-        if (bodiless || head_request_) {
-            const auto length = answer.message[http::field::content_length];
-            if (!length.empty() && status != 204) head.add("Content-Length", view(length));
+        if (is_bodiless(answer.message.result_int()) || head_request_) {
+            add_stated_length(head, answer.message);
             return say(std::move(head), {});
         }
         head.add("Content-Length", answer.message.body().size());
@@ -94,14 +91,12 @@
 
     std::shared_ptr<Stream> begin(const Upstream::Response& from,
                                   std::optional<std::uint64_t> length) override {
+        const bool has_body = !is_bodiless(from.result_int()) && !head_request_;
         HeadText head = head_of(from);
-        chunked_ = false;
-        if (length) {
-            head.add("Content-Length", *length);
-        } else if (!is_bodiless(from.result_int()) && !head_request_) {
-            head.add("Transfer-Encoding", "chunked");
-            chunked_ = true;
-        }
+        chunked_ = has_body && !length;
+        if (chunked_) head.add("Transfer-Encoding", "chunked");
+        if (has_body && length) head.add("Content-Length", *length);
+        if (!has_body) add_stated_length(head, from);
         out_ += head.whole();
         in_ = std::make_shared<Stream>(kStreamBound);
         const auto in = in_;
@@ -228,6 +223,13 @@
         begin_answer(head);
         return head;
     }
+    // Of an answer that has no body: the length that it would have (RFC 9110, 8.6).
+    template <class From>
+    static void add_stated_length(HeadText& head, const From& from) {
+        const auto length = from[http::field::content_length];
+        if (!length.empty() && from.result() != http::status::no_content)
+            head.add("Content-Length", view(length));
+    }
     void begin_answer(HeadText& head) {
         begin_answering();
         last_ = false;
--- a/src/engine/call.hpp
+++ b/src/engine/call.hpp
@@ -36,7 +36,8 @@
     // Trying again is harmless; `retry_in` tells when (milliseconds, 0: no advice).
     virtual void refused(Millis retry_in) noexcept = 0;
     virtual void failed(Failure why) noexcept = 0;
-    // An answer that counts as a failed attempt: the call may keep it and pass it on if it fails for good.
+    // A whole answer that counts as a failed attempt: the call may keep it and pass it on if it fails for
+    // good.
     virtual void errored(std::unique_ptr<Answer>) noexcept {}
 
     // Whether an attempt may be made, the first being 0: all of the request is there, from its beginning, its
--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -61,6 +61,7 @@
     progress_ = std::chrono::steady_clock::now();
     parser_.reset();
     feed_.reset();
+    outcome_.reset();
     interim_ = 0;
     if (!connected_) return;
     wait_readable();  // mostly it does already
@@ -260,10 +261,10 @@
 
 void Upstream::Connection::fail(Outcome outcome) {
     if (!exchange_) return close();
-    end(false, outcome, {}, {});
+    end(false, {outcome});
 }
 
-void Upstream::Connection::end(bool keep, Outcome outcome, Response response, Trailers trailers) {
+void Upstream::Connection::end(bool keep, End end) {
     const auto self = shared_from_this();
     Upstream* const owner = owner_;
     let_go();
@@ -277,7 +278,7 @@
         keep = false;
     }
     if (!keep) close();
-    owner->ended(exchange.id, exchange.done, outcome, std::move(response), std::move(trailers));
+    owner->ended(exchange.id, exchange.done, std::move(end));
 }
 
 }  // namespace whinledge
--- a/src/http/server_connection.hpp
+++ b/src/http/server_connection.hpp
@@ -12,6 +12,7 @@
 #include <string>
 #include <string_view>
 
+#include "http/answer_end.hpp"
 #include "http/chunks.hpp"
 #include "http/message.hpp"
 #include "http/upstream.hpp"
@@ -112,10 +113,17 @@
 
     // What is wrong with the answer, if anything is.
     const char* parse();
+    // The same of its head, which may not be whole yet; behind a whole one the body begins.
+    const char* parse_head();
+    void begin_parsing();
+    void begin_body();
 
     // Of a failed attempt no more is kept than of any other; what it means stands in its head.
     bool too_much() const;
+    // The rest of the answer is of no use, and its connection ends with it.
     void cut_short();
+    // Whether anybody has a use for the answer's body.
+    bool needs_body() const;
 
     // A body that is larger than what is waited for, or may be, or has no end in sight, is passed on.
     bool passes_on() const;
@@ -129,26 +137,27 @@
     // Streams of an exchange that is over tell it nothing more.
     void let_go();
 
-    // None: the connection's end, which is no fault. `closed`: in good order, which alone ends an answer
-    // without a length; a reset breaks it off (RFC 9112, 8).
-    void broke(const char* fault, bool closed = false);
+    // The connection has ended, which may be the end of its answer as well.
+    void connection_ended(ConnectionEnd how);
+    // `fault`: of the answer; none: it is cut off.
+    void broke(const char* fault);
 
-    // Without the trailers that may have come.
-    const boost::beast::http::response_header<>& head_so_far() const;
-
-    // RFC 9112, 6.3: the body is all that came.
-    void ended_by_close();
+    // The one place that says whether an answer whose head is read is whole.
+    bool is_whole(ConnectionEnd how) const {
+        return whinledge::is_whole(delimiter_, parser_->is_done(), how);
+    }
 
     Outcome outcome_of(const boost::beast::http::response_header<>& head) const;
 
-    void answered(bool keep);
+    // The answer is whole.
+    void answered();
 
     // For where it would be within start().
     void fail_later(Outcome outcome = Outcome::refused_connection);
 
     void fail(Outcome outcome);
 
-    void end(bool keep, Outcome outcome, Response response, Trailers trailers);
+    void end(bool keep, End end);
 
     Upstream* owner_;  // none: closed
     Tcp::socket socket_;
@@ -159,6 +168,8 @@
     using Parser = boost::beast::http::response_parser<PlainBody>;
     std::optional<Parser> parser_;
     std::optional<BodyFeed<Parser>> feed_;
+    std::optional<Outcome> outcome_;                 // by its head, once that is read
+    BodyDelimiter delimiter_ = BodyDelimiter::none;  // the same
     std::optional<Exchange> exchange_;
     std::chrono::steady_clock::time_point since_;
     int interim_ = 0;
--- a/src/http/transport.cpp
+++ b/src/http/transport.cpp
@@ -36,15 +36,15 @@
                                                       std::optional<std::uint64_t> length) {
                 return listener.attempt_begun(key) ? call.pass_on(std::move(head), length) : nullptr;
             };
-        const auto done = [&listener, key](Outcome outcome, Upstream::Response response, Trailers trailers) {
+        const auto done = [&listener, key](Upstream::End end) {
             std::unique_ptr<Answer> answer;
             try {
-                if (outcome == Outcome::completed || outcome == Outcome::errored)
-                    answer = std::make_unique<HttpAnswer>(std::move(response), std::move(trailers));
+                if (end.answer && (end.outcome == Outcome::completed || end.outcome == Outcome::errored))
+                    answer = std::make_unique<HttpAnswer>(std::move(*end.answer), std::move(end.trailers));
             } catch (const std::exception&) {  // no memory for it: lost, and it has run
-                outcome = Outcome::severed;
+                end.outcome = Outcome::severed;
             }
-            listener.attempt_ended(key, outcome, std::move(answer));
+            listener.attempt_ended(key, end.outcome, std::move(answer));
         };
         const Upstream::Begun begun = upstream_.start(attempt.machine, std::move(request), done);
         return {begun.exchange, begun.ended};
@@ -61,8 +61,8 @@
         timer->cancel();
         listener.probe_ended(machine, outcome);
     };
-    const auto [exchange, ended] = upstream_.start(
-        machine, std::move(ping), [told](Outcome outcome, const auto&, const auto&) { told(outcome); });
+    const auto [exchange, ended] =
+        upstream_.start(machine, std::move(ping), [told](const Upstream::End& end) { told(end.outcome); });
     if (ended) return told(*ended);
     timer->after(span(timeout), [this, told, exchange = exchange] {
         told(upstream_.stop(exchange) ? Outcome::overdue : Outcome::refused_connection);
--- a/src/http/upstream.cpp
+++ b/src/http/upstream.cpp
@@ -206,10 +206,9 @@
     return at != exchanges_.end() && at->second->written();
 }
 
-void Upstream::ended(ExchangeId exchange, const Done& done, Outcome outcome, Response response,
-                     Trailers trailers) {
+void Upstream::ended(ExchangeId exchange, const Done& done, End end) {
     exchanges_.erase(exchange);
-    done(outcome, std::move(response), std::move(trailers));
+    done(std::move(end));
 }
 
 // What the budget has granted is given back if there is no memory for it.
--- a/src/http/upstream.hpp
+++ b/src/http/upstream.hpp
@@ -41,8 +41,9 @@
         // larger.
         virtual bool waits_for_unknown_length() const { return false; }
         virtual bool head_only() const { return false; }  // of HEAD
-        // Whether an answer whose end only the connection's end marks is one; else it counts as cut off.
-        virtual bool by_close() const { return false; }
+        // Whether the answer of a failed attempt may reach the client, so that its body is read even where it
+        // costs the connection (BodyDelimiter::connection_close).
+        virtual bool keeps_failed_answers() const { return false; }
         // Whether a request that did not go out whole provably never ran. Most servers begin with its head.
         virtual bool begins_when_whole() const { return true; }
         // Without a byte either way, once an answer is passed on, or while a request is.
@@ -79,9 +80,13 @@
         PoolId pool = 0;
         Millis connect_timeout = 0, idle = 0;  // of its pool; 0: as the limits have it
     };
-    // Called once, never from within start(), unless that tells the outcome itself; the response is whole
-    // where the outcome is `completed`, unless it was passed on; `trailers` are those of a whole one.
-    using Done = std::function<void(Outcome, Response, Trailers)>;
+    struct End {
+        Outcome outcome;
+        std::optional<Response> answer{};  // none: it did not come whole, or it was passed on
+        Trailers trailers{};               // of `answer`
+    };
+    // Called once, never from within start(), unless that tells the outcome itself.
+    using Done = std::function<void(End)>;
 
     struct Limits {
         Millis connect_timeout = 250;
@@ -162,7 +167,7 @@
     void drop_idle(Server& server);
     void sweep();
     Millis until_next_sweep() const;
-    void ended(ExchangeId exchange, const Done& done, Outcome outcome, Response response, Trailers trailers);
+    void ended(ExchangeId exchange, const Done& done, End end);
     void reuse(const ConnectionPtr& connection);
     void remove(const Connection& connection);
 
--- a/src/http/web_answer.cpp
+++ b/src/http/web_answer.cpp
@@ -1,6 +1,7 @@
 // Writing answers of the http profile: whole ones, those that come as a stream, and how a connection ends.
 #include <utility>
 
+#include "http/answer_end.hpp"
 #include "http/web_client.hpp"
 
 namespace whinledge {
--- a/src/http/web_client.hpp
+++ b/src/http/web_client.hpp
@@ -46,8 +46,6 @@
     using Guest::has_gone;
 
 private:
-    static bool is_bodiless(unsigned status) { return status / 100 == 1 || status == 204 || status == 304; }
-
     bool held_up() const override { return paused_ && reading_body_; }
     bool reads_body_late() const override { return reading_body_; }
     bool reads_at_the_end() const override { return phase_ == Phase::head; }
--- a/src/http/web_exchange.cpp
+++ b/src/http/web_exchange.cpp
@@ -48,9 +48,7 @@
 }
 
 void Web::Exchange::errored(std::unique_ptr<Answer> answer) noexcept {
-    auto last = std::unique_ptr<HttpAnswer>(static_cast<HttpAnswer*>(answer.release()));
-    // One that broke off is empty: its client must not take a part for the whole.
-    if (outcome_of(last->message) == Outcome::errored) last_ = std::move(last);
+    last_.reset(static_cast<HttpAnswer*>(answer.release()));
 }
 
 void Web::Exchange::leave() noexcept {
--- a/src/http/web_exchange.hpp
+++ b/src/http/web_exchange.hpp
@@ -44,7 +44,7 @@
     std::size_t whole_up_to() const override { return std::max<std::size_t>(1, route->handling.buffer); }
     std::size_t answer_limit() const override { return route->handling.answer_limit; }
     bool head_only() const override { return is_head; }
-    bool by_close() const override { return true; }
+    bool keeps_failed_answers() const override { return true; }
     bool begins_when_whole() const override { return false; }
     Millis idle() const override { return route->handling.stream_idle; }
     // An attempt that does not begin right on arrival looks first: its client's end may wait in the loop's
