Data plane: a failure that is passed on as it comes is not kept as a turn

Callers could see: a turn that its server answered with 301 or 404 in chunks or without a length was kept as if it had ended whole, and a later turn could go on from the failure's text. With a length it was settled as it should be.

Cause: at the end of what is passed on `Exchange::finish` looked at whether the turn was open, not at what had been passed on.

Change: the exchange remembers whether it passes on a success; only then bytes count as the turn's and its end is kept.

Evidence: `AnswerEndsOfTurns.AreKeptIfWhole` failed without the change at "301, without a length, closed", and passes with it.

--- a/src/data_plane/exchange.cpp
+++ b/src/data_plane/exchange.cpp
@@ -41,6 +41,8 @@
 // Statuses that promise that the request never ran.
 bool is_promise(unsigned status) { return status == 408 || status == 421 || status == 429 || status == 503; }
 
+bool is_success(unsigned status) { return status / 100 == 2; }
+
 }  // namespace
 
 Exchange::Exchange(ExchangeHost& host, std::shared_ptr<AnswerSink> client, Request request)
@@ -249,7 +251,7 @@
         return Outcome::superseded;
     }
     if (answer.count("Not-Run") > 0) return Outcome::saturated;
-    if (status / 100 == 2) return answer.count("Server-Seal") == 1 ? Outcome::completed : Outcome::severed;
+    if (is_success(status)) return answer.count("Server-Seal") == 1 ? Outcome::completed : Outcome::severed;
     return status >= 500 || is_promise(status) ? Outcome::errored : Outcome::completed;
 }
 
@@ -276,13 +278,13 @@
 }
 
 void Exchange::handed(std::string_view bytes) {
-    if (turn_) turn_->handed(bytes);
+    if (turn_ && passing_success_) turn_->handed(bytes);
 }
 
 void Exchange::finish(std::function<void(bool)> done) {
     release_client();
     ++host_.counters.served;
-    if (turn_open_ && !turn_->has_record()) {
+    if (turn_open_ && !(turn_->has_record() && passing_success_)) {
         settle(true);
         return done(true);
     }
@@ -314,13 +316,14 @@
 std::shared_ptr<Stream> Exchange::pass_on(Upstream::Response answer, std::optional<std::uint64_t> length) {
     if (!client_) return nullptr;
     passing_ = true;
+    passing_success_ = is_success(answer.result_int());
     return client_->begin(answer, length);
 }
 
 void Exchange::served(std::unique_ptr<Answer> answer) noexcept {
     if (passing_ || !client_) return;  // the stream's end tells its client
     const std::unique_ptr<HttpAnswer> whole(static_cast<HttpAnswer*>(answer.release()));
-    if (turn_open_ && whole->message.result_int() / 100 == 2) return stream_whole(*whole);
+    if (turn_open_ && is_success(whole->message.result_int())) return stream_whole(*whole);
     ++host_.counters.served;
     settle(true);
     end([&](AnswerSink& client) { client.whole(*whole); });
--- a/src/data_plane/exchange.hpp
+++ b/src/data_plane/exchange.hpp
@@ -152,6 +152,7 @@
     mutable bool sent_ = false;                       // an attempt may have gone out
     bool arriving_ = true;                            // the client has just been heard
     bool passing_ = false;                            // an answer is passed on
+    bool passing_success_ = false;                    // and is a success
     std::unique_ptr<HttpAnswer> last_;                // a server's answer that counted as a failed attempt
 };
 
--- a/tests/tier/data_plane/answer_ends_test.cpp
+++ b/tests/tier/data_plane/answer_ends_test.cpp
@@ -121,5 +121,24 @@
                              return path.substr(1, path.find('/', 1) - 1);
                          });
 
+// A turn is kept if its answer ended whole, and with all of its events: a success that was cut off, and a
+// failure, are no turns that others may go on from.
+TEST(AnswerEndsOfTurns, AreKeptIfWhole) {
+    for (const AnswerEnding& ending : answer_endings()) {
+        SCOPED_TRACE(ending.name());
+        OneAnswer one(ending);
+        one.ask(ending.method, "/turn/x", "Program: p\r\nBudget: 500\r\nToken-Count: 10,30\r\n");
+        expect_as_it_ended(ending, one.heard);
+        ASSERT_TRUE(one.turn.has_value());
+        const bool is_kept = ending.is_whole() && ending.is_success();
+        EXPECT_EQ(one.turn->whole, is_kept);
+        EXPECT_FALSE(one.turn->never_ran);
+        if (is_kept) {
+            EXPECT_EQ(one.turn->record.output, ending.has_body() ? "one\ntwo\n" : "");
+        }
+        if (HasFailure()) return;
+    }
+}
+
 }  // namespace
 }  // namespace whinledge::data_plane::test
