Daemon: what is cut off for a client of HTTP/1.0 ends with a reset

Callers could see: an answer of unknown length goes to a client of HTTP/1.0 without one, ended by the connection's close. If its server broke off, that connection was closed in good order too, so half an answer looked whole.

Cause: `Door::Guest::close` ends a connection in the same way whatever is being said on it.

Change: who begins an answer that the connection's end delimits says so (`end_by_connection`); until it is finished a close is a reset, whatever causes it.

Evidence: `Daemon10Or11.AnswersAreWholeOrLookCutOff` failed without the change at "200, in chunks, closed within, HTTP/1.0", and passes with it.

--- a/src/http/client_connection.hpp
+++ b/src/http/client_connection.hpp
@@ -175,6 +175,7 @@
     bool keep_ = true;             // the connection, behind the answer
     bool may_be_sending_ = false;  // as the last answer goes out
     bool head_request_ = false;    // by HEAD: its answer has no body
+    unsigned version_ = 11;        // of its request: 10 or 11
     bool begun_ = false;           // the answer is on its way
 
 private:
@@ -215,6 +216,7 @@
         head_is_read_ = true;
         keep_ = parser_->keep_alive();
         head_request_ = head.method() == boost::beast::http::verb::head;
+        version_ = head.version();
         feed_.emplace(*parser_, bounds_.long_body);
         return judge_head(head);
     }
--- a/src/http/web_answer.cpp
+++ b/src/http/web_answer.cpp
@@ -59,7 +59,8 @@
         reply.set(http::field::transfer_encoding, "chunked");
         chunked_ = true;
     } else {
-        keep_ = false;  // its end is the connection's
+        keep_ = false;
+        end_by_connection();
         reply.set(http::field::connection, "close");
     }
     out_ += head_text(reply.base());
--- a/src/http/web_client.hpp
+++ b/src/http/web_client.hpp
@@ -124,7 +124,6 @@
     Web& web_;
     std::shared_ptr<Exchange> call_;  // until its answer begins
     Millis write_limit_ = web::kLongestWrite;
-    unsigned version_ = 11;
     bool has_body_ = false;
     bool woken_ = true;          // its time for a head runs since its connecting
     bool reading_body_ = false;  // more of a request's body is to come
--- a/src/http/web_request.cpp
+++ b/src/http/web_request.cpp
@@ -37,7 +37,6 @@
 }
 
 bool Web::Client::judge_head(const Head& head) {
-    version_ = head.version();
     has_body_ = parser_->chunked() || parser_->content_length().value_or(0) > 0;
     door_->places().asked(place, false, door_->now());
     woken_ = false;
--- a/src/listen/door.cpp
+++ b/src/listen/door.cpp
@@ -66,6 +66,7 @@
     const GuestPtr self = shared_from_this();
     Door* const door = std::exchange(door_, nullptr);
     error_code ignored;
+    if (resets_) socket_.set_option(asio::socket_base::linger(true, 0), ignored);
     socket_.close(ignored);
     left();
     door->closed(*this);
@@ -133,6 +134,7 @@
 
 void Door::Guest::finish(bool may_be_sending) {
     finishing_ = true;
+    resets_ = false;
     door_->places_.ends(place, door_->now());
     longest_linger_ = door_->now() + kLongLinger;
     limit(may_be_sending ? kLongLinger : kLinger);
--- a/src/listen/door.hpp
+++ b/src/listen/door.hpp
@@ -83,6 +83,9 @@
         void discard();
         // Of broken(): an answer that needs no memory, then the end.
         void say_last(std::string_view bytes) noexcept;
+        // The connection's end will be the end of what is being said (HTTP/1.0): until finish() a close is a
+        // reset, so that what is cut off does not look whole.
+        void end_by_connection() { resets_ = true; }
 
         Door* door_;  // none: closed
         Tcp::socket socket_;
@@ -98,6 +101,7 @@
         Millis limit_ = kNever, longest_linger_ = 0;
         std::unique_ptr<boost::asio::steady_timer> look_;  // of who has been held up
         bool waiting_ = false, finishing_ = false;
+        bool resets_ = false;  // as it is closed
     };
     using GuestPtr = std::shared_ptr<Guest>;
     using Make = std::function<GuestPtr(Places::Id, Tcp::socket)>;
--- a/tests/integration/answer_ends_test.cpp
+++ b/tests/integration/answer_ends_test.cpp
@@ -68,7 +68,7 @@
         daemon.reset();
         start_daemon(buffer);
         for (const AnswerEnding& ending : answer_endings())
-            for (const std::string version : {"1.1"}) {
+            for (const std::string version : {"1.1", "1.0"}) {
                 SCOPED_TRACE(ending.name() + ", HTTP/" + version + ", buffer " + buffer);
                 expect_as_it_ended(ending, ask(ending, version), buffer, body);
                 if (HasFailure()) return;
