Listeners: a request that comes as its idle connection ends is taken, or left unread

Cause: `out_of_time` ended an idle connection without a look at what had come since the loop last looked; behind the half-close of an idle connection what crossed it was read and dropped, as behind a last answer.

Change: whoever ends an idle connection looks first and takes what has come (`end_idle`); what crosses the half-close is left unread and resets the connection (`finish_idle`), so its client knows that nothing of it was taken. All three listeners; bytes of an earlier answer are waited for as before.

Evidence: a clock at whose next look the client sends: `RestedConnection.IsNotEndedOverARequestThatCameInTime`, `.LeavesARequestUnreadThatCrossesItsEnd` and `.LeavesARequestUnreadThatCrossesItsTime` failed without the change, and passed 5 of 5 times with it.

--- a/src/data_plane/ingress.cpp
+++ b/src/data_plane/ingress.cpp
@@ -61,7 +61,7 @@
     void out_of_time() override {
         if (reading()) return reject(408);
         if (const auto request = std::exchange(unrouted_, nullptr)) return own(503, kNotYet);
-        phase_ == Phase::idle ? finish(false) : close();
+        phase_ == Phase::idle ? end_idle() : close();
     }
     void hurried() override {
         if (const auto request = std::exchange(unrouted_, nullptr)) return own(503, kNotYet);
--- a/src/http/client_connection.hpp
+++ b/src/http/client_connection.hpp
@@ -30,8 +30,7 @@
 public:
     void last_chance() override {
         const auto self = shared_from_this();
-        if (phase_ == Phase::idle)
-            pending_.empty() && unread() == boost::asio::error::would_block ? finish(false) : begin();
+        if (phase_ == Phase::idle) end_idle();
         for (int reads = 0; reads_at_the_end() && reads < most_reads() && !unread(); ++reads) read();
         if (door_ && reading()) reject(kUnavailable);
     }
@@ -148,6 +147,11 @@
         wait_readable();
         door_->rested();
     }
+    // One that idles ends in good order, unless something has come on it by now: that is read.
+    void end_idle() {
+        const bool is_quiet = pending_.empty() && unread() == boost::asio::error::would_block;
+        is_quiet ? finish_idle() : begin();
+    }
     // An answer has gone out, the last of this connection.
     void end() { finish(may_be_sending_ || !pending_.empty()); }
 
--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -206,7 +206,7 @@
     }
     void out_of_time() override {
         if (reading()) return reject(kTooSlow);
-        phase_ == Phase::idle ? finish(false) : close();
+        phase_ == Phase::idle ? end_idle() : close();
     }
     void answer(Reply reply) {
         waited();
--- a/src/http/web_answer.cpp
+++ b/src/http/web_answer.cpp
@@ -30,7 +30,7 @@
 
 void Web::Client::out_of_time() {
     if (phase_ == Phase::head || reading_body_) return spoilt(408);
-    phase_ == Phase::idle ? finish(false) : close();
+    phase_ == Phase::idle ? end_idle() : close();
 }
 
 void Web::Client::answer(HttpAnswer& answer) {
--- a/src/listen/door.cpp
+++ b/src/listen/door.cpp
@@ -143,32 +143,45 @@
     wait_readable();
 }
 
+void Door::Guest::finish_idle() {
+    leaves_unread_ = true;
+    finish(false);
+}
+
 // Since something came from it, or it connected: it may have waited to be accepted for long. Linux tells.
 Millis Door::Guest::silence() const { return tcp_info_of(socket_).tcpi_last_data_recv; }
 
 // Once for each wait, so that who sends at full speed is no more than one among all.
 void Door::Guest::discard() {
+    if (leaves_unread_ && !holds_answer()) return close();
     error_code error;
     receive(error);
     if (error && error != asio::error::would_block) return close();
     wait_readable();
 }
 
-// Bytes, or our half-close, that the client's machine has not acknowledged.
-bool Door::Guest::undelivered() {
+// Bytes that the client's machine has not acknowledged; our half-close counts as one.
+int Door::Guest::unacknowledged() const {
     int size = 0;
-    return ::ioctl(socket_.native_handle(), SIOCOUTQ, &size) == 0 && size > 0;
+    const int failed = ::ioctl(const_cast<Tcp::socket&>(socket_).native_handle(), SIOCOUTQ, &size);
+    return failed ? 0 : size;
 }
 
+// A reset could take bytes of an answer with it.
+bool Door::Guest::holds_answer() const { return unacknowledged() > (finishing_ ? 1 : 0); }
+
 // The next sweep looks again while there is time.
 void Door::Guest::linger_over(Millis now) {
     if (now >= longest_linger_ || !undelivered()) drop();
 }
 
-// The end of a client that has not ended its connection itself: over no unread bytes either.
+// The end of a client that has not ended its connection itself: over no unread bytes where it has been
+// answered.
 void Door::Guest::drop() {
+    const bool answered = finishing_ && !leaves_unread_;
     error_code error;
-    for (int reads = 0; reads < kLastReads && !error; ++reads) receive(error);
+    if (answered || holds_answer())
+        for (int reads = 0; reads < kLastReads && !error; ++reads) receive(error);
     close();
 }
 
--- a/src/listen/door.hpp
+++ b/src/listen/door.hpp
@@ -79,6 +79,9 @@
         // Closing over unread bytes would reset the connection and could take the answer with it: a
         // half-close, then a linger, in which the client's end is awaited and what it still sends is dropped.
         void finish(bool may_be_sending);
+        // The same of one that idles. A request that crosses it is left unread, and resets the connection:
+        // its client knows that nothing of it was taken.
+        void finish_idle();
         bool finishing() const { return finishing_; }
         void discard();
         // Of broken(): an answer that needs no memory, then the end.
@@ -93,7 +96,9 @@
     private:
         friend class Door;
         Millis silence() const;
-        bool undelivered();
+        int unacknowledged() const;
+        bool undelivered() const { return unacknowledged() > 0; }
+        bool holds_answer() const;
         void linger_over(Millis now);
         void drop();
 
@@ -101,7 +106,8 @@
         Millis limit_ = kNever, longest_linger_ = 0;
         std::unique_ptr<boost::asio::steady_timer> look_;  // of who has been held up
         bool waiting_ = false, finishing_ = false;
-        bool resets_ = false;  // as it is closed
+        bool resets_ = false;         // as it is closed
+        bool leaves_unread_ = false;  // what comes while it is finishing
     };
     using GuestPtr = std::shared_ptr<Guest>;
     using Make = std::function<GuestPtr(Places::Id, Tcp::socket)>;
--- a/tests/tier/data_plane/edge_rig.hpp
+++ b/tests/tier/data_plane/edge_rig.hpp
@@ -4,8 +4,10 @@
 #pragma once
 
 #include <gtest/gtest.h>
+#include <sys/socket.h>
 
 #include <boost/asio.hpp>
+#include <cerrno>
 #include <chrono>
 #include <functional>
 #include <list>
@@ -81,13 +83,21 @@
 
     const std::string& heard() const { return state_->heard; }
     bool ended() const { return state_->ended; }
+    // Whether the other side has reset the connection, behind its end.
+    bool is_reset() {
+        int error = 0;
+        socklen_t size = sizeof error;
+        ::getsockopt(socket_.native_handle(), SOL_SOCKET, SO_ERROR, &error, &size);
+        state_->reset = state_->reset || error == ECONNRESET || error == EPIPE;
+        return state_->reset;
+    }
     bool has(const std::string& text) const { return heard().find(text) != std::string::npos; }
 
 private:
     struct State {
         std::array<char, 4096> buffer{};
         std::string heard, out;
-        bool ended = false;
+        bool ended = false, reset = false;
     };
     void read() {
         socket_.async_read_some(boost::asio::buffer(state_->buffer),
--- a/tests/tier/data_plane/rested_connection_test.cpp
+++ b/tests/tier/data_plane/rested_connection_test.cpp
@@ -1,9 +1,10 @@
 // Connections of clients at rest between requests: each may be taken up until the configuration's idleMs is
 // over, counted from its last answer.
+#include <functional>
 #include <string>
+#include <utility>
 
 #include "edge_rig.hpp"
-#include "rig/test_time.hpp"
 
 namespace whinledge::data_plane::test {
 namespace {
@@ -12,8 +13,18 @@
 constexpr double kLatestByThePage =
     0.8;  // of idleMs: when a client takes a connection up again at the latest
 
+// A clock at whose next look something happens: between what the door has seen and what it does of that.
+struct CrossedTime final : TimeSource {
+    Millis now() const override {
+        if (const auto happens = std::exchange(crossing, nullptr)) happens();
+        return at;
+    }
+    Millis at = 1e6;
+    mutable std::function<void()> crossing;
+};
+
 struct RestedConnection : EdgeRig {
-    whinledge::test::TestTime time;
+    CrossedTime time;
 
     RestedConnection() { door_clock = &time; }
 
@@ -51,6 +62,49 @@
     EXPECT_TRUE(is_served(c, 4));
 }
 
+// Guards against a request that came as its connection's time was over, and was thrown away (LOST).
+TEST_F(RestedConnection, IsNotEndedOverARequestThatCameInTime) {
+    start_with_a();
+    RawClient& c = client();
+    ASSERT_TRUE(is_served(c, 1));
+    time.crossing = [&] {
+        c.send(get("/read/x", "X: 2\r\n"));
+        time.at += kIdle + 1;
+    };
+    until([&] { return arrived() == 2U || c.ended(); });
+    until([&] { return c.heard().find("HTTP/1.1 200 ", 1) != std::string::npos || c.ended(); });
+    EXPECT_EQ(arrived(), 2U);
+    EXPECT_FALSE(c.ended());
+}
+
+// Guards against a request that was read, and thrown away, as its connection ended with a drain (LOST): left
+// unread it may be sent elsewhere.
+TEST_F(RestedConnection, LeavesARequestUnreadThatCrossesItsEnd) {
+    start_with_a();
+    RawClient& c = client();
+    ASSERT_TRUE(is_served(c, 1));
+    time.crossing = [&] { c.send(get("/read/x", "X: 2\r\n")); };
+    ingress->door().drain(0);
+    until([&] { return c.ended() && c.is_reset(); });
+    EXPECT_TRUE(c.is_reset());
+    EXPECT_EQ(arrived(), 1U);
+}
+
+// What idles beyond its time ends the same way.
+TEST_F(RestedConnection, LeavesARequestUnreadThatCrossesItsTime) {
+    start_with_a();
+    RawClient& c = client();
+    ASSERT_TRUE(is_served(c, 1));
+    // The first look is the sweep's, the second that of the connection's end.
+    time.crossing = [&] {
+        time.at += kIdle + 1;
+        time.crossing = [&] { c.send(get("/read/x", "X: 2\r\n")); };
+    };
+    until([&] { return c.ended() && c.is_reset(); });
+    EXPECT_TRUE(c.is_reset());
+    EXPECT_EQ(arrived(), 1U);
+}
+
 TEST_F(RestedConnection, IsEndedOnceItsTimeIsOver) {
     start_with_a();
     RawClient& c = client();
