Rig: what is to be done is drawn once it may be; a machine lost for good is not retired

Cause: the rig drew a machine ahead of waiting until one may be lost.

Change: a machine is drawn behind the wait; a retirement whose machine is gone for good counts no more; findings on retirements name what was done meanwhile.

--- a/tools/tier/rig.hpp
+++ b/tools/tier/rig.hpp
@@ -120,6 +120,8 @@
     Task<void> roll(Fault fault);
     Task<void> throttle(std::string machine, Millis lasts);
     Task<void> retire(std::string machine);
+    // What was done to machines of core and storage since shortly before `since`, in words.
+    std::string deeds_since(Millis since) const;
     Task<void> do_final_fault();
     Task<void> watch_loop();
     void tell_controls() const;
@@ -142,6 +144,12 @@
     std::vector<std::shared_ptr<Server>> servers_;
     std::vector<std::shared_ptr<ProgramResult>> programs_;
     std::vector<std::string> old_turns_;
+    struct DoneDeed {
+        std::string machine;
+        Deed deed;
+        Millis at;
+    };
+    std::vector<DoneDeed> deeds_;
     std::vector<Finding> own_findings_;  // of the rig: a retirement that never ended, ...
     Millis traffic_from_ = 0, traffic_until_ = 0;
     int open_ = 0, next_server_ = 0;  // what clients do now
--- a/tools/tier/rig_faults.cpp
+++ b/tools/tier/rig_faults.cpp
@@ -120,6 +120,12 @@
         co_await roll(fault);
         co_return;
     }
+    if (class_of(fault.target) != MachineClass::edge && fault.deed != Deed::hang_up) {
+        const bool may =
+            co_await await([this] { return tier_->may_lose_one() || world_.ending; }, kLossLimit);
+        if (!may || world_.ending) co_return;
+    }
+    // Drawn behind the wait: what was drawn ahead of it may have gone meanwhile.
     const std::string name = pick(fault.target);
     const Machine* const machine = tier_->find(name);
     if (machine && is_spared(fault, *machine)) co_return;
@@ -128,14 +134,10 @@
         co_return;
     }
     const std::string zone = machine->zone;
-    if (machine->kind != MachineClass::edge && fault.deed != Deed::hang_up) {
-        const bool may =
-            co_await await([this] { return tier_->may_lose_one() || world_.ending; }, kLossLimit);
-        if (!may || world_.ending) co_return;
-    }
     const MachineClass kind = machine->kind;
     if (options_.tells) std::cout << "       " << name_of(fault.deed) << " " << name << std::endl;
     ++result_.faults_done;
+    deeds_.push_back({name, fault.deed, world_.now()});
     switch (fault.deed) {
         case Deed::kill:
             tier_->kill(name);
@@ -205,17 +207,34 @@
 }
 
 Task<void> Rig::retire(std::string machine) {
+    const Millis ordered = world_.now();
     const int status = co_await operator_->begin_retirement(machine, kRetireLimit);
+    // One that is gone for good meanwhile is lost, and not retired.
+    const auto is_lost = [this, &machine] { return tier_->find(machine)->removed; };
+    if (!is_success(status) && is_lost()) co_return;
     if (!is_success(status)) {
-        own_findings_.push_back({"RETIRE", machine + ": the order was answered " + std::to_string(status)});
+        own_findings_.push_back({"RETIRE", machine + ": the order was answered " + std::to_string(status) +
+                                               deeds_since(ordered)});
         co_return;
     }
     const bool finished = co_await operator_->await_retirement(machine, kRetireLimit);
     if (finished)
         tier_->remove(machine, true);
-    else
+    else if (!is_lost())
         own_findings_.push_back({"RETIRE", machine + " is not finished after " +
-                                               std::to_string(static_cast<int>(kRetireLimit)) + " ms"});
+                                               std::to_string(static_cast<int>(kRetireLimit)) + " ms" +
+                                               deeds_since(ordered)});
+}
+
+std::string Rig::deeds_since(Millis since) const {
+    constexpr Millis kBefore = 6000;  // a deed may last
+    std::string words;
+    for (const DoneDeed& done : deeds_) {
+        if (done.at < since - kBefore || done.machine.starts_with("edge")) continue;
+        words += std::string("; ") + name_of(done.deed) + " " + done.machine + " at " +
+                 std::to_string(static_cast<int>(done.at - since)) + " ms";
+    }
+    return words;
 }
 
 Task<void> Rig::do_final_fault() {
