--- a/tests/tier/system/system_test.cpp
+++ b/tests/tier/system/system_test.cpp
@@ -23,6 +23,7 @@
 DayOptions day(Millis traffic, std::vector<std::string> faults = {}) {
     DayOptions options;
     options.tier.programs = {WHINLEDGE_PROXY, WHINLEDGE_CONTROL, WHINLEDGE_STORAGE};
+    options.tier.stalled_sync = WHINLEDGE_STALLED_SYNC;
     options.folder_in = folder_of_disks();
     options.traffic = traffic;
     options.requests_per_s = 10;
@@ -102,6 +103,11 @@
 
 TEST(Tier, AllSidecarsKilledAtOnce) { play(day(8000, {"3:kill:edges:0.5"}), 0.6); }
 
+TEST(Tier, DisksStallInTurn) {
+    play(day(14000, {"1:stall:storage-aber-1:0.5", "4:stall:core-bole-1:1.2", "8:stall:storage-bole-1:2"}),
+         0.85);
+}
+
 TEST(Tier, StorageMachineReplacedElsewhere) { play(day(10000, {"2:replace:storage-aber-1:1"}), 0.9); }
 
 TEST(Tier, ControlMachineReplacedElsewhere) { play(day(10000, {"2:replace:core-aber-1:1"}), 0.95); }
--- a/tools/tier/main.cpp
+++ b/tools/tier/main.cpp
@@ -27,7 +27,8 @@
     "  --bin       has whinledge-proxy, whinledge-control and whinledge-storage; else the program's own "
     "folder\n"
     "  --newer     has the same programs of another build, for upgrade and downgrade\n"
-    "  --fault     DEED: kill, freeze, throttle, term, hup, wipe, replace, retire, remove, add, drain, "
+    "  --fault     DEED: kill, freeze, throttle, stall, term, hup, wipe, replace, retire, remove, add, "
+    "drain, "
     "upgrade, "
     "downgrade;\n"
     "              TARGET: the name of a machine, such as core-aber-1, or edge, core, storage: any of it, "
@@ -98,6 +99,8 @@
     if (!words.alone().empty()) throw tools::UsageError("too much: " + words.alone().front());
     DayOptions day;
     day.tier.programs = programs_in(words.get("--bin", own_folder()), "--bin");
+    const std::string stalled_sync = own_folder() + "/libwhinledge_stalled_sync.so";
+    if (std::filesystem::exists(stalled_sync)) day.tier.stalled_sync = stalled_sync;
     const std::string newer = words.get("--newer", "");
     if (!newer.empty()) day.tier.newer = programs_in(newer, "--newer");
     const int zones = tools::number<int>(words.get("--zones", "3"));
--- a/tools/tier/rig.hpp
+++ b/tools/tier/rig.hpp
@@ -21,6 +21,7 @@
     kill,
     freeze,
     throttle,  // by a quota: it is stopped for the rest of each tenth of a second
+    stall,     // its disk takes no sync
     terminate,
     hang_up,
     wipe,
--- a/tools/tier/rig_faults.cpp
+++ b/tools/tier/rig_faults.cpp
@@ -19,9 +19,10 @@
     const char* name;
     Deed deed;
 };
-constexpr std::array<DeedName, 13> kDeeds{{{"kill", Deed::kill},
+constexpr std::array<DeedName, 14> kDeeds{{{"kill", Deed::kill},
                                            {"freeze", Deed::freeze},
                                            {"throttle", Deed::throttle},
+                                           {"stall", Deed::stall},
                                            {"term", Deed::terminate},
                                            {"hup", Deed::hang_up},
                                            {"wipe", Deed::wipe},
@@ -64,9 +65,10 @@
     const auto deed = std::find_if(kDeeds.begin(), kDeeds.end(),
                                    [&](const DeedName& known) { return known.name == parts[1]; });
     if (deed == kDeeds.end())
-        throw std::invalid_argument("'" + parts[1] +
-                                    "' is no deed: kill, freeze, throttle, term, hup, wipe, replace, retire, "
-                                    "remove, add, drain, upgrade or downgrade");
+        throw std::invalid_argument(
+            "'" + parts[1] +
+            "' is no deed: kill, freeze, throttle, stall, term, hup, wipe, replace, retire, "
+            "remove, add, drain, upgrade or downgrade");
     Fault fault{seconds(parts[0]), deed->deed, parts[2]};
     if (parts.size() == 4) fault.lasts = seconds(parts[3]);
     return fault;
@@ -148,6 +150,9 @@
         case Deed::throttle:
             co_await throttle(name, fault.lasts);
             co_return;
+        case Deed::stall:
+            tier_->stall_disk(name);
+            break;
         case Deed::upgrade:
         case Deed::downgrade:
             tier_->use_newer(name, fault.deed == Deed::upgrade);
@@ -175,6 +180,7 @@
     co_await sleep_for(world_, fault.lasts);
     if (fault.deed == Deed::replace) tier_->add(kind, zone);
     if (fault.deed == Deed::freeze) tier_->thaw(name);
+    if (fault.deed == Deed::stall) tier_->release_disk(name);
     const bool ends_in_order =
         fault.deed == Deed::terminate || fault.deed == Deed::upgrade || fault.deed == Deed::downgrade;
     if (ends_in_order)
--- a/tools/tier/soak.cpp
+++ b/tools/tier/soak.cpp
@@ -63,6 +63,15 @@
         day.faults.push_back({at, draw.any_of(kOfCore), draw.any_of(kTargets), draw.between(100, 2500)});
 }
 
+// Disks that stall, one machine at a time, briefly or for longer than a silence is borne.
+void add_stalls(DayOptions& day, Draw& draw) {
+    static constexpr const char* kTargets[] = {"core", "storage", "storage"};
+    static constexpr Millis kLengths[] = {60, 300, 1200, 4000};
+    for (Millis at = kFirst + draw.between(0, 4000); at < day.traffic - kCalmAtTheEnd;
+         at += draw.between(2000, 7000))
+        day.faults.push_back({at, Deed::stall, draw.any_of(kTargets), draw.any_of(kLengths)});
+}
+
 }  // namespace
 
 void make_soak(DayOptions& day, std::uint64_t seed) {
@@ -78,6 +87,7 @@
     add_planned_work(day, draw);
     add_planned_work_of_core(day, draw);
     if (seed % 2 == 0) add_troubles(day, draw);
+    if (seed % 2 == 0 && !day.tier.stalled_sync.empty()) add_stalls(day, draw);
     if (seed % 8 == 0) day.final_fault = FinalFault::all_killed;
     if (seed % 8 == 5) day.final_fault = FinalFault::all_killed_and_one_wiped;
 }
--- /dev/null
+++ b/tools/tier/stalled_sync.cpp
@@ -0,0 +1,27 @@
+// Loaded into the processes of a day (LD_PRELOAD): their syncs wait for as long as the file is there that
+// WHINLEDGE_STALL names, as those of a disk that stalls.
+#include <sys/syscall.h>
+#include <unistd.h>
+
+#include <cstdlib>
+#include <ctime>
+
+namespace {
+
+void wait_while_stalled() {
+    constexpr timespec kLook{0, 2'000'000};
+    static const char* const file = std::getenv("WHINLEDGE_STALL");
+    while (file && ::access(file, F_OK) == 0) ::nanosleep(&kLook, nullptr);
+}
+
+}  // namespace
+
+extern "C" int fsync(int descriptor) {
+    wait_while_stalled();
+    return static_cast<int>(::syscall(SYS_fsync, descriptor));
+}
+
+extern "C" int fdatasync(int descriptor) {
+    wait_while_stalled();
+    return static_cast<int>(::syscall(SYS_fdatasync, descriptor));
+}
--- a/tools/tier/tier.cpp
+++ b/tools/tier/tier.cpp
@@ -110,6 +110,7 @@
                  std::to_string(zone_index + 1) + "." + std::to_string(last);
     machine.settings_path = options_.folder + "/" + name + ".conf";
     machine.log_path = options_.folder + "/" + name + ".log";
+    machine.stall_path = options_.folder + "/" + name + ".stall";
     if (kind != MachineClass::edge) {
         machine.data_folder = options_.folder + "/" + name + ".data";
         std::filesystem::create_directories(machine.data_folder);
@@ -221,7 +222,14 @@
                                                                       : build.storage;
     std::string boot = "WHINLEDGE_BOOT=" + machine.settings_path, path = "PATH=/usr/bin:/bin",
                 home = "HOME=" + options_.folder;
-    std::array<char*, 4> environment{boot.data(), path.data(), home.data(), nullptr};
+    std::string preload = "LD_PRELOAD=" + options_.stalled_sync,
+                stall = "WHINLEDGE_STALL=" + machine.stall_path;
+    const bool may_stall = !options_.stalled_sync.empty() && machine.kind != MachineClass::edge;
+    std::array<char*, 6> environment{boot.data(), path.data(), home.data(), nullptr, nullptr, nullptr};
+    if (may_stall) {
+        environment[3] = preload.data();
+        environment[4] = stall.data();
+    }
     std::string word = program;
     std::array<char*, 2> words{word.data(), nullptr};
     posix_spawn_file_actions_t actions;
@@ -308,6 +316,21 @@
     return machine && machine->pid > 0 && !machine->frozen && ::kill(machine->pid, SIGCONT) == 0;
 }
 
+bool Tier::stall_disk(const std::string& name) {
+    Machine* const machine = known(name);
+    if (!machine || machine->pid <= 0 || options_.stalled_sync.empty()) return false;
+    open_trouble(*machine, false);
+    std::ofstream(machine->stall_path).flush();
+    return true;
+}
+
+bool Tier::release_disk(const std::string& name) {
+    Machine* const machine = known(name);
+    if (!machine || !std::filesystem::remove(machine->stall_path)) return false;
+    if (machine->up && !machine->frozen) close_trouble(*machine);
+    return true;
+}
+
 bool Tier::terminate(const std::string& name) {
     Machine* const machine = known(name);
     if (!machine || machine->pid <= 0) return false;
--- a/tools/tier/tier.hpp
+++ b/tools/tier/tier.hpp
@@ -45,13 +45,16 @@
     Trouble* trouble = nullptr;  // the open one
     Millis again = 0;            // when an own end is answered by a start; 0: not
     std::string settings_path, data_folder, log_path;
+    std::string stall_path;  // while this file is there its disk is stalled
 };
 
 class Tier {
 public:
     struct Options {
         Programs programs;
-        Programs newer;      // of another build, for upgrades; empty: none
+        Programs newer;  // of another build, for upgrades; empty: none
+        // The library whinledge_stalled_sync, without which no disk can be stalled.
+        std::string stalled_sync;
         std::string folder;  // of this run; made by the caller
         int subnet = 1;      // 127.SUBNET.ZONE.N
         std::vector<std::string> zones{"aber", "bole", "cray"};
@@ -80,6 +83,9 @@
     // Stops its process, or lets it go on: what a quota of the processor does. Its machine is in no trouble.
     bool hold(const std::string& name);
     bool release(const std::string& name);
+    // Its disk takes no sync until it is released.
+    bool stall_disk(const std::string& name);
+    bool release_disk(const std::string& name);
     bool terminate(const std::string& name);  // SIGKILL after grace
     bool hang_up(const std::string& name);    // SIGHUP
     // Which build it runs from its next start on. Throws std::invalid_argument where no newer one was given.
