Control: a byte that no path may have is refused, and ends no process

Cause: the answer repeats the name, the JSON library throws for it, and nothing between the handler and the loop caught that.

Change: such a target is 400; answers are written with bytes replaced that are no UTF-8; what a handler throws is answered 500 and logged.

Evidence: ControlPlane.BytesThatNoPathMayHaveAreRefused and HttpServerTest.AnswersForAHandlerThatThrows ended with the exception before, and pass now.

--- a/src/control_plane/http_server.cpp
+++ b/src/control_plane/http_server.cpp
@@ -1,10 +1,14 @@
 #include "control_plane/http_server.hpp"
 
+#include <glog/logging.h>
+
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <chrono>
 #include <cstdio>
+#include <exception>
+#include <memory>
 #include <utility>
 
 namespace whinledge::control_plane {
@@ -103,12 +107,22 @@
         if (based_on != message.end()) request.based_on = std::string(based_on->value());
         stream_.expires_never();
         ++server_->owed;
-        server_->handler(std::move(request),
-                         [self = shared_from_this(), answered = false](HttpAnswer answer) mutable {
-                             if (std::exchange(answered, true)) return;
-                             --self->server_->owed;
-                             self->answer(std::move(answer));
-                         });
+        const Respond respond = respond_once();
+        try {
+            server_->handler(std::move(request), respond);
+        } catch (const std::exception& error) {
+            LOG(ERROR) << "a request of the operator was not handled: " << error.what();
+            respond({500, R"({"error":"this request can't be handled; see the log"})", std::nullopt});
+        }
+    }
+
+    // Whoever answers first; the copies share that.
+    Respond respond_once() {
+        return [self = shared_from_this(), answered = std::make_shared<bool>(false)](HttpAnswer answer) {
+            if (std::exchange(*answered, true)) return;
+            --self->server_->owed;
+            self->answer(std::move(answer));
+        };
     }
 
     // Of what can't be read as a request.
--- a/src/control_plane/operator_api.cpp
+++ b/src/control_plane/operator_api.cpp
@@ -1,5 +1,6 @@
 #include "control_plane/operator_api.hpp"
 
+#include <algorithm>
 #include <charconv>
 #include <chrono>
 #include <nlohmann/json.hpp>
@@ -22,10 +23,11 @@
 constexpr std::chrono::milliseconds kRegisterTimeout{700};
 constexpr double kRetryAfterS = 0.1;
 
-// The message may quote bytes of the operator.
+// Does not throw for bytes of the operator that are no UTF-8.
+std::string text_of(const Json& json) { return json.dump(-1, ' ', false, Json::error_handler_t::replace); }
+
 HttpAnswer fault(unsigned status, const std::string& message) {
-    return {status, Json{{"error", message}}.dump(-1, ' ', false, Json::error_handler_t::replace),
-            std::nullopt};
+    return {status, text_of(Json{{"error", message}}), std::nullopt};
 }
 
 HttpAnswer unavailable(const std::string& message) {
@@ -44,7 +46,7 @@
 HttpAnswer answer_of(const OrderAttempt& attempt, const StateResult& result) {
     switch (attempt.answer(result)) {
         case OrderAnswer::acknowledged:
-            return {200, Json{{"version", attempt.order().version}}.dump(), std::nullopt};
+            return {200, text_of(Json{{"version", attempt.order().version}}), std::nullopt};
         case OrderAnswer::not_above:
             return fault(400, "`version` must be above the current one");
         case OrderAnswer::other_version:
@@ -72,7 +74,7 @@
 };
 
 HttpAnswer answer_of(const Retirement& attempt, const StateResult& result, bool heard) {
-    const HttpAnswer taken{200, Json{{"node", attempt.node}}.dump(), std::nullopt};
+    const HttpAnswer taken{200, text_of(Json{{"node", attempt.node}}), std::nullopt};
     if (result) return taken;
     if (result.error().failure != RegisterFailure::rejected) return unavailable(result.error().message);
     switch (attempt.last) {
@@ -89,6 +91,11 @@
     }
 }
 
+// Whether a target has only bytes that one may have (RFC 3986, 2).
+bool is_visible_ascii(const std::string& target) {
+    return std::all_of(target.begin(), target.end(), [](char c) { return c > ' ' && c < 127; });
+}
+
 // NODE of /retire/NODE/VERB.
 std::optional<std::string> retired_node(const std::string& path, const std::string& verb) {
     static const std::string kStart = "/retire/";
@@ -104,6 +111,8 @@
     : register_(reg), options_(std::move(options)) {}
 
 void OperatorApi::handle(HttpRequest request, Respond respond) {
+    if (!is_visible_ascii(request.target))
+        return respond(fault(400, "the path has a byte that none may have; write it as %XX"));
     const std::string path = request.target.substr(0, request.target.find('?'));
     const bool post = request.method == "POST";
     const bool get = request.method == "GET";
--- a/tests/tier/control_plane/control_process_test.cpp
+++ b/tests/tier/control_plane/control_process_test.cpp
@@ -433,6 +433,20 @@
     EXPECT_TRUE(runs_until([&] { return edge->servers().servers.size() == 1; })) << edge->counters();
 }
 
+// Guards against one request that ended a control process (a node's name with a byte that is no UTF-8).
+TEST_F(ControlPlane, BytesThatNoPathMayHaveAreRefused) {
+    const std::vector<std::string> names{"\xE9", "storage-\xFF", "\xC3\xA9", "\xED\xA0\x80", "a\x80z"};
+    for (std::size_t control = 0; control < 3; ++control)
+        for (const std::string& name : names) {
+            EXPECT_EQ(call(control, "POST /retire/" + name + "/begin", "", "{}")->status(), 400);
+            EXPECT_EQ(call(control, "GET /retire/" + name + "/read")->status(), 400);
+            EXPECT_EQ(call(control, "GET /" + name)->status(), 400);
+        }
+    EXPECT_EQ(call(0, "POST /retire/storage-%E9/begin", "", "{}")->status(), 404);
+    EXPECT_EQ(call(0, "POST /settings/replace", "Based-On: \xE9\r\n", "{\"version\":1}")->status(), 400);
+    EXPECT_EQ(call(0, "POST /settings/replace", "Based-On: 0\r\n", "{\"\xE9\":1}")->status(), 400);
+}
+
 TEST_F(ControlPlane, StorageMapIsFoundedJoinedAndLeft) {
     const auto a = watcher("storage-a", wire::NodeRole::storage, 201);
     const auto b = watcher("storage-b", wire::NodeRole::storage, 202);
--- a/tests/tier/control_plane/http_server_test.cpp
+++ b/tests/tier/control_plane/http_server_test.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <chrono>
+#include <stdexcept>
 #include <string>
 #include <utility>
 #include <vector>
@@ -28,6 +29,7 @@
               io, Tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0),
               [this](HttpRequest request, HttpServer::Respond respond) {
                   requests.push_back(request);
+                  if (request.target == "/throws") throw std::runtime_error("no such thing");
                   if (held) return waiting.push_back(respond);
                   respond({200,
                            request.method + " " + request.target + " " + std::to_string(request.body.size()),
@@ -80,6 +82,15 @@
     EXPECT_FALSE(requests[1].based_on);
 }
 
+// What is thrown for one request ends neither the process nor the connection.
+TEST_F(HttpServerTest, AnswersForAHandlerThatThrows) {
+    send("GET /throws HTTP/1.1\r\nHost: x\r\n\r\n");
+    run_until([this] { return has("HTTP/1.1 500 ") && has("see the log"); });
+    EXPECT_EQ(server.owed(), 0U);
+    send("GET /settings/read HTTP/1.1\r\nHost: x\r\n\r\n");
+    run_until([this] { return has("GET /settings/read 0"); });
+}
+
 TEST_F(HttpServerTest, TakesChunkedAndLargeBodies) {
     send("POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
     run_until([this] { return has("POST /a 5"); });
