--- a/tests/tier/system/system_test.cpp
+++ b/tests/tier/system/system_test.cpp
@@ -23,7 +23,7 @@
 DayOptions day(Millis traffic, std::vector<std::string> faults = {}) {
     DayOptions options;
     options.tier.programs = {WHINLEDGE_PROXY, WHINLEDGE_CONTROL, WHINLEDGE_STORAGE};
-    options.tier.stalled_sync = WHINLEDGE_STALLED_SYNC;
+    options.tier.stalling = {"", WHINLEDGE_CONTROL_STALLING, WHINLEDGE_STORAGE_STALLING};
     options.folder_in = folder_of_disks();
     options.traffic = traffic;
     options.requests_per_s = 10;
--- a/tools/tier/main.cpp
+++ b/tools/tier/main.cpp
@@ -99,8 +99,7 @@
     if (!words.alone().empty()) throw tools::UsageError("too much: " + words.alone().front());
     DayOptions day;
     day.tier.programs = programs_in(words.get("--bin", own_folder()), "--bin");
-    const std::string stalled_sync = own_folder() + "/libwhinledge_stalled_sync.so";
-    if (std::filesystem::exists(stalled_sync)) day.tier.stalled_sync = stalled_sync;
+    day.tier.stalling = stalling_programs_in(words.get("--bin", own_folder()));
     const std::string newer = words.get("--newer", "");
     if (!newer.empty()) day.tier.newer = programs_in(newer, "--newer");
     const int zones = tools::number<int>(words.get("--zones", "3"));
--- a/tools/tier/soak.cpp
+++ b/tools/tier/soak.cpp
@@ -87,7 +87,7 @@
     add_planned_work(day, draw);
     add_planned_work_of_core(day, draw);
     if (seed % 2 == 0) add_troubles(day, draw);
-    if (seed % 2 == 0 && !day.tier.stalled_sync.empty()) add_stalls(day, draw);
+    if (seed % 2 == 0 && !day.tier.stalling.storage.empty()) add_stalls(day, draw);
     if (seed % 8 == 0) day.final_fault = FinalFault::all_killed;
     if (seed % 8 == 5) day.final_fault = FinalFault::all_killed_and_one_wiped;
 }
--- a/tools/tier/stalled_sync.cpp
+++ b/tools/tier/stalling_sync.cpp
@@ -1,5 +1,5 @@
-// Loaded into the processes of a day (LD_PRELOAD): their syncs wait for as long as the file is there that
-// WHINLEDGE_STALL names, as those of a disk that stalls.
+// Linked into the control and storage programs of a day that stalls disks, ahead of the C library: their
+// syncs wait for as long as the file is there that WHINLEDGE_STALL names.
 #include <sys/syscall.h>
 #include <unistd.h>
 
--- a/tools/tier/tier.cpp
+++ b/tools/tier/tier.cpp
@@ -73,6 +73,14 @@
     return programs;
 }
 
+Programs stalling_programs_in(const std::string& folder) {
+    const Programs programs{"", folder + "/whinledge-control-stalling",
+                            folder + "/whinledge-storage-stalling"};
+    for (const std::string& program : {programs.control, programs.storage})
+        if (::access(program.c_str(), X_OK) != 0) return {};
+    return programs;
+}
+
 std::string own_folder() { return std::filesystem::read_symlink("/proc/self/exe").parent_path().string(); }
 
 std::string make_run_folder(const std::filesystem::path& within) {
@@ -213,23 +221,22 @@
     machine.trouble = nullptr;
 }
 
+const std::string& Tier::program_of(const Machine& machine) const {
+    const bool stalls = !machine.newer && !options_.stalling.storage.empty();
+    const Programs& build = machine.newer ? options_.newer : options_.programs;
+    if (machine.kind == MachineClass::edge) return build.proxy;
+    const Programs& disks = stalls ? options_.stalling : build;
+    return machine.kind == MachineClass::core ? disks.control : disks.storage;
+}
+
 void Tier::spawn(Machine& machine) {
     machine.waited = 0;
     std::ofstream(machine.settings_path) << settings_text(machine);
-    const Programs& build = machine.newer ? options_.newer : options_.programs;
-    const std::string& program = machine.kind == MachineClass::edge   ? build.proxy
-                                 : machine.kind == MachineClass::core ? build.control
-                                                                      : build.storage;
+    const std::string& program = program_of(machine);
     std::string boot = "WHINLEDGE_BOOT=" + machine.settings_path, path = "PATH=/usr/bin:/bin",
                 home = "HOME=" + options_.folder;
-    std::string preload = "LD_PRELOAD=" + options_.stalled_sync,
-                stall = "WHINLEDGE_STALL=" + machine.stall_path;
-    const bool may_stall = !options_.stalled_sync.empty() && machine.kind != MachineClass::edge;
-    std::array<char*, 6> environment{boot.data(), path.data(), home.data(), nullptr, nullptr, nullptr};
-    if (may_stall) {
-        environment[3] = preload.data();
-        environment[4] = stall.data();
-    }
+    std::string stall = "WHINLEDGE_STALL=" + machine.stall_path;
+    std::array<char*, 5> environment{boot.data(), path.data(), home.data(), stall.data(), nullptr};
     std::string word = program;
     std::array<char*, 2> words{word.data(), nullptr};
     posix_spawn_file_actions_t actions;
@@ -318,7 +325,7 @@
 
 bool Tier::stall_disk(const std::string& name) {
     Machine* const machine = known(name);
-    if (!machine || machine->pid <= 0 || options_.stalled_sync.empty()) return false;
+    if (!machine || machine->pid <= 0 || options_.stalling.storage.empty()) return false;
     open_trouble(*machine, false);
     std::ofstream(machine->stall_path).flush();
     return true;
--- a/tools/tier/tier.hpp
+++ b/tools/tier/tier.hpp
@@ -21,6 +21,8 @@
 };
 // Those of the build in that folder; `option` names it. Throws tools::UsageError where one is missing.
 Programs programs_in(const std::string& folder, const std::string& option);
+// Those whose disks can be stalled; empty where the folder lacks them.
+Programs stalling_programs_in(const std::string& folder);
 // The folder that has this program.
 std::string own_folder();
 
@@ -53,8 +55,9 @@
     struct Options {
         Programs programs;
         Programs newer;  // of another build, for upgrades; empty: none
-        // The library whinledge_stalled_sync, without which no disk can be stalled.
-        std::string stalled_sync;
+        // The control and storage programs of days that may stall disks, run in place of those; empty: no
+        // disk can be stalled.
+        Programs stalling;
         std::string folder;  // of this run; made by the caller
         int subnet = 1;      // 127.SUBNET.ZONE.N
         std::vector<std::string> zones{"aber", "bole", "cray"};
@@ -109,6 +112,7 @@
 private:
     Machine& new_machine(MachineClass kind, std::size_t zone_index);
     Machine* known(const std::string& name);
+    const std::string& program_of(const Machine& machine) const;
     void spawn(Machine& machine);
     void open_trouble(Machine& machine, bool planned);
     void close_trouble(Machine& machine);
