Control: how JSON is told to the operator stands once

Cause: the last read found that operator_api.cpp had written again what control_process.cpp had.

Change: `json_text` (`control_plane/json_text.hpp`) serves both.

--- a/src/control_plane/control_process.cpp
+++ b/src/control_plane/control_process.cpp
@@ -12,6 +12,7 @@
 #include <sstream>
 #include <utility>
 
+#include "control_plane/json_text.hpp"
 #include "feed/watch.hpp"
 #include "io/address.hpp"
 #include "io/loop_watch.hpp"
@@ -99,8 +100,6 @@
     }
 }
 
-std::string text(const Json& json) { return json.dump(-1, ' ', false, Json::error_handler_t::replace); }
-
 std::string hex(std::uint64_t key) {
     std::ostringstream digits;
     digits << std::hex << std::setw(16) << std::setfill('0') << key;
@@ -396,7 +395,7 @@
                                {"heardMsAgo", std::chrono::duration_cast<Span>(at - heard.last).count()},
                                {"sequence", heard.sequence},
                                {"note", heard.storage_note}});
-    return text({{"self", self_.node}, {"members", members}, {"acceptors", acceptors()}});
+    return json_text({{"self", self_.node}, {"members", members}, {"acceptors", acceptors()}});
 }
 
 Json ControlProcess::acceptors() const {
@@ -421,11 +420,11 @@
     const Json all = acceptors();
     const auto present =
         std::count_if(all.begin(), all.end(), [](const Json& one) { return one["present"].get<bool>(); });
-    return text({{"self", self_.node},
-                 {"majority", all.size() / 2 + 1},
-                 {"present", present},
-                 {"sequence", register_.known().sequence},
-                 {"acceptors", all}});
+    return json_text({{"self", self_.node},
+                      {"majority", all.size() / 2 + 1},
+                      {"present", present},
+                      {"sequence", register_.known().sequence},
+                      {"acceptors", all}});
 }
 
 std::string ControlProcess::overlay_page() const {
@@ -436,10 +435,10 @@
                          {"control", link.control},
                          {"eager", link.eager},
                          {"parent", link.parent}});
-    return text({{"self", self_.node},
-                 {"running", overlay_.running()},
-                 {"links", links},
-                 {"counters", overlay_.counters()}});
+    return json_text({{"self", self_.node},
+                      {"running", overlay_.running()},
+                      {"links", links},
+                      {"counters", overlay_.counters()}});
 }
 
 std::string ControlProcess::list_page() const {
@@ -452,11 +451,11 @@
                            {"zone", server.zone},
                            {"draining", server.draining},
                            {"slots", server.slots}});
-    return text({{"self", self_.node},
-                 {"term", list.term},
-                 {"sequence", list.sequence},
-                 {"alive", list_reader_.alive()},
-                 {"servers", servers}});
+    return json_text({{"self", self_.node},
+                      {"term", list.term},
+                      {"sequence", list.sequence},
+                      {"alive", list_reader_.alive()},
+                      {"servers", servers}});
 }
 
 std::string ControlProcess::leases_page() const {
@@ -464,7 +463,7 @@
     for (const LeaseService::View& view : leases_.views())
         leases.push_back(
             {{"lease", view.lease}, {"node", view.node}, {"fencing", view.fencing}, {"own", view.own}});
-    return text({{"self", self_.node}, {"leases", leases}});
+    return json_text({{"self", self_.node}, {"leases", leases}});
 }
 
 std::string ControlProcess::replicas_page() const {
@@ -483,7 +482,7 @@
         row.update(progress_fields(heard == storages.end() ? nullptr : &heard->second, at));
         members.push_back(std::move(row));
     }
-    return text({{"epoch", state.storage.epoch}, {"members", members}, {"retired", state.retired}});
+    return json_text({{"epoch", state.storage.epoch}, {"members", members}, {"retired", state.retired}});
 }
 
 std::string ControlProcess::openings_page() {
@@ -495,13 +494,13 @@
                         {"perSecond", rounded(view.opening.rate)},
                         {"share", rounded(view.share)},
                         {"trend", rounded(view.trend)}});
-    return text({{"self", self_.node}, {"nodes", openings_.nodes()}, {"openings", rows}});
+    return json_text({{"self", self_.node}, {"nodes", openings_.nodes()}, {"openings", rows}});
 }
 
 std::string ControlProcess::status_page() const {
     const wire::RegisterState& state = register_.known();
     const wire::ServersList& list = list_reader_.list();
-    return text(
+    return json_text(
         {{"node", self_.node},
          {"sequence", state.sequence},
          {"version", state.version},
--- a/src/control_plane/operator_api.cpp
+++ b/src/control_plane/operator_api.cpp
@@ -7,6 +7,7 @@
 #include <optional>
 #include <utility>
 
+#include "control_plane/json_text.hpp"
 #include "control_plane/retirement.hpp"
 #include "control_plane/settings_order.hpp"
 #include "serving/configuration.hpp"
@@ -23,11 +24,8 @@
 constexpr std::chrono::milliseconds kRegisterTimeout{700};
 constexpr double kRetryAfterS = 0.1;
 
-// Does not throw for bytes of the operator that are no UTF-8.
-std::string text_of(const Json& json) { return json.dump(-1, ' ', false, Json::error_handler_t::replace); }
-
 HttpAnswer fault(unsigned status, const std::string& message) {
-    return {status, text_of(Json{{"error", message}}), std::nullopt};
+    return {status, json_text(Json{{"error", message}}), std::nullopt};
 }
 
 HttpAnswer unavailable(const std::string& message) {
@@ -46,7 +44,7 @@
 HttpAnswer answer_of(const OrderAttempt& attempt, const StateResult& result) {
     switch (attempt.answer(result)) {
         case OrderAnswer::acknowledged:
-            return {200, text_of(Json{{"version", attempt.order().version}}), std::nullopt};
+            return {200, json_text(Json{{"version", attempt.order().version}}), std::nullopt};
         case OrderAnswer::not_above:
             return fault(400, "`version` must be above the current one");
         case OrderAnswer::other_version:
@@ -74,7 +72,7 @@
 };
 
 HttpAnswer answer_of(const Retirement& attempt, const StateResult& result, bool heard) {
-    const HttpAnswer taken{200, text_of(Json{{"node", attempt.node}}), std::nullopt};
+    const HttpAnswer taken{200, json_text(Json{{"node", attempt.node}}), std::nullopt};
     if (result) return taken;
     if (result.error().failure != RegisterFailure::rejected) return unavailable(result.error().message);
     switch (attempt.last) {
