Tests: what holds of answers' ends and of connections at rest stands once

Cause: the last read found the same expectations in both tables of answers' ends, and twice for connections at rest.

Change: `expect_passed_on_whole`, `expect_visibly_cut_off` and `expect_left_unread`; the checks are the same.

--- a/tests/integration/answer_ends_test.cpp
+++ b/tests/integration/answer_ends_test.cpp
@@ -2,7 +2,6 @@
 // platform's sidecar: what ended whole reaches its client as it was, and what was cut off never looks whole.
 #include "rig/answer_ends.hpp"
 
-#include "fuzz/http_reader.hpp"
 #include "rig/service_rig.hpp"
 
 namespace whinledge::test {
@@ -44,18 +43,11 @@
     const bool is_failure = ending.code() >= 500;
     const bool is_over_buffer = buffer == "1KiB" && ending.has_body();
     if (ending.is_whole() && (!(is_failure && is_over_buffer) || is_servers(heard))) {
-        EXPECT_EQ(heard.got, fuzz::Got::whole);
-        EXPECT_EQ(heard.status, ending.code());
-        EXPECT_TRUE(is_servers(heard));
-        EXPECT_EQ(heard.body, ending.has_body() ? body : "");
-        return;
+        return expect_passed_on_whole(ending, heard, is_servers(heard), body);
     }
     if (is_servers(heard)) {  // it had been passed on by then
-        EXPECT_FALSE(ending.is_whole() || is_failure);
-        EXPECT_EQ(heard.status, ending.code());
-        EXPECT_EQ(heard.got, fuzz::Got::more) << "what is cut off looks whole";
-        EXPECT_TRUE(body.starts_with(heard.body));
-        return;
+        EXPECT_FALSE(is_failure);
+        return expect_visibly_cut_off(ending, heard, body);
     }
     EXPECT_EQ(heard.got, fuzz::Got::whole);
     EXPECT_EQ(heard.status, 502U);
--- a/tests/rig/answer_ends.hpp
+++ b/tests/rig/answer_ends.hpp
@@ -2,10 +2,12 @@
 // connection goes on behind it. Whether such an answer is whole is stated here without the code under test.
 #pragma once
 
-#include <functional>
+#include <gtest/gtest.h>
+
 #include <string>
 #include <vector>
 
+#include "fuzz/http_reader.hpp"
 #include "http/chunks.hpp"
 
 namespace whinledge::test {
@@ -81,4 +83,22 @@
     return endings;
 }
 
+// A client has got a server's answer as it was. `fields`: whether those of the server are there.
+inline void expect_passed_on_whole(const AnswerEnding& ending, const fuzz::Message& heard, bool fields,
+                                   const std::string& body) {
+    EXPECT_EQ(heard.got, fuzz::Got::whole);
+    EXPECT_EQ(heard.status, ending.code());
+    EXPECT_TRUE(fields) << "not the server's";
+    EXPECT_EQ(heard.body, ending.has_body() ? body : "");
+}
+
+// A client has got the beginning of a server's answer, and can tell that it was cut off.
+inline void expect_visibly_cut_off(const AnswerEnding& ending, const fuzz::Message& heard,
+                                   const std::string& body) {
+    EXPECT_FALSE(ending.is_whole());
+    EXPECT_EQ(heard.status, ending.code());
+    EXPECT_EQ(heard.got, fuzz::Got::more) << "what is cut off looks whole";
+    EXPECT_TRUE(body.starts_with(heard.body)) << heard.body;
+}
+
 }  // namespace whinledge::test
--- a/tests/tier/data_plane/answer_ends_test.cpp
+++ b/tests/tier/data_plane/answer_ends_test.cpp
@@ -13,6 +13,8 @@
 
 using whinledge::test::answer_endings;
 using whinledge::test::AnswerEnding;
+using whinledge::test::expect_passed_on_whole;
+using whinledge::test::expect_visibly_cut_off;
 
 const std::string kFields = "Try-Id: id-1\r\nServer-Seal: s.1\r\nContent-Type: text/event-stream\r\n";
 const std::string kEvents = "id: 1\ndata: one\n\nid: 2\ndata: two\n\n";
@@ -80,19 +82,11 @@
 void expect_as_it_ended(const AnswerEnding& ending, const fuzz::Message& heard, unsigned own_status = 502) {
     ASSERT_TRUE(heard.head);
     if (ending.is_whole() && !is_promise(ending.code())) {
-        EXPECT_EQ(heard.got, fuzz::Got::whole);
-        EXPECT_EQ(heard.status, ending.code());
-        EXPECT_TRUE(is_servers(heard));
-        EXPECT_EQ(heard.body, ending.has_body() ? kEvents : "");
-        return;
+        return expect_passed_on_whole(ending, heard, is_servers(heard), kEvents);
     }
     if (is_servers(heard)) {  // it had been passed on by then
-        EXPECT_FALSE(ending.is_whole());
-        EXPECT_EQ(heard.status, ending.code());
-        EXPECT_EQ(heard.got, fuzz::Got::more) << "what is cut off looks whole";
         EXPECT_FALSE(heard.until_close) << "its end can't be told from a break";
-        EXPECT_TRUE(kEvents.starts_with(heard.body)) << heard.body;
-        return;
+        return expect_visibly_cut_off(ending, heard, kEvents);
     }
     EXPECT_EQ(heard.got, fuzz::Got::whole);
     EXPECT_EQ(heard.status, own_status);
--- a/tests/tier/data_plane/rested_connection_test.cpp
+++ b/tests/tier/data_plane/rested_connection_test.cpp
@@ -41,6 +41,12 @@
         until([&] { return answers() == number || c.ended(); });
         return answers() == number;
     }
+    // The second request on the connection ends it by a reset, and reaches no server.
+    void expect_left_unread(RawClient& c) {
+        until([&] { return c.ended() && c.is_reset(); });
+        EXPECT_TRUE(c.is_reset());
+        EXPECT_EQ(arrived(), 1U);
+    }
     // The door looks for whose time is over.
     void sweep() {
         bool over = false;
@@ -85,9 +91,7 @@
     ASSERT_TRUE(is_served(c, 1));
     time.crossing = [&] { c.send(get("/read/x", "X: 2\r\n")); };
     ingress->door().drain(0);
-    until([&] { return c.ended() && c.is_reset(); });
-    EXPECT_TRUE(c.is_reset());
-    EXPECT_EQ(arrived(), 1U);
+    expect_left_unread(c);
 }
 
 // What idles beyond its time ends the same way.
@@ -100,9 +104,7 @@
         time.at += kIdle + 1;
         time.crossing = [&] { c.send(get("/read/x", "X: 2\r\n")); };
     };
-    until([&] { return c.ended() && c.is_reset(); });
-    EXPECT_TRUE(c.is_reset());
-    EXPECT_EQ(arrived(), 1U);
+    expect_left_unread(c);
 }
 
 TEST_F(RestedConnection, IsEndedOnceItsTimeIsOver) {
