--- a/tests/tier/data_plane/answer_ends_test.cpp
+++ b/tests/tier/data_plane/answer_ends_test.cpp
@@ -134,5 +134,19 @@
     }
 }
 
+// An answer without a length on a connection that its server keeps open never ends: it is a failure once its
+// route's time is over, whatever has come of it.
+TEST(AnswerEndsThatNeverCome, AreFailuresOnceTheRoutesTimeIsOver) {
+    for (const char* const status : {"200 OK", "201 Created", "404 Not Found", "500 Oops"}) {
+        SCOPED_TRACE(status);
+        OneAnswer one({"POST", status, AnswerEnding::Framing::none, AnswerEnding::End::kept});
+        one.ask("POST", "/quick/x");
+        EXPECT_EQ(one.heard.got, fuzz::Got::whole);
+        EXPECT_TRUE(one.heard.status == 502U || one.heard.status == 504U) << one.heard.status;
+        EXPECT_FALSE(is_servers(one.heard));
+        EXPECT_EQ(one.heard.body, "");
+    }
+}
+
 }  // namespace
 }  // namespace whinledge::data_plane::test
