--- a/cmake/tier.cmake
+++ b/cmake/tier.cmake
@@ -21,7 +21,7 @@
 set(wire_folder ${CMAKE_CURRENT_BINARY_DIR}/wire)
 file(MAKE_DIRECTORY ${wire_folder})
 set(wire_sources "")
-foreach(idl IN ITEMS control openings register storage overlay)
+foreach(idl IN ITEMS control openings register rollout storage overlay)
   set(generated ${wire_folder}/${idl}_types.cpp ${wire_folder}/${idl}_types.h)
   add_custom_command(OUTPUT ${generated}
                      COMMAND ${THRIFT_COMPILER} --gen cpp:no_skeleton,templates,moveable_types -out ${wire_folder}
@@ -42,7 +42,7 @@
 target_include_directories(whinledge_docopt SYSTEM INTERFACE ${DOCOPT_INCLUDE})
 target_link_libraries(whinledge_docopt INTERFACE ${DOCOPT_LIBRARY})
 
-foreach(folder IN ITEMS node rpc ctl serving consensus servers_list overlay feed storage_map control_plane storage_plane openings placement data_plane programs)
+foreach(folder IN ITEMS node rpc ctl serving consensus servers_list overlay feed storage_map rollout control_plane storage_plane openings placement data_plane programs)
   add_subdirectory(src/${folder})
 endforeach()
 # Stand-ins for all who call the tier, and the rig that plays a day of real processes.
--- a/idl/control.thrift
+++ b/idl/control.thrift
@@ -42,6 +42,28 @@
   3: i32 ledger_group = 0;              // voters that keep a program's ledger; 0, or no more voters: all of them
 }
 
+/** How far a rollout is; it only moves forward. */
+enum RolloutPhase {
+  trial = 0,      // a part of the requests goes to the new version
+  shifting = 1,   // nothing new goes to the old versions, whose servers still run
+  finished = 2,   // the old servers stop
+  reverted = 3,   // nothing goes to the new version
+}
+
+/** The newest rollout of a service. */
+struct Rollout {
+  1: i64 number = 0;                    // rises with each order taken
+  2: string service_name;
+  3: string new_version;
+  4: i64 within_ms = 0;                 // from the order to its deadline
+  5: i32 phase = 0;                     // RolloutPhase
+  6: i64 elapsed_ms = 0;                // since the order, as known when `phase` was recorded
+  7: i64 fencing = 0;                   // of the lease under which `phase` was recorded; 0: none was needed
+  8: string evidence;                   // what led to `phase`, for people
+  9: string base_version;               // that the service ran as the order came; empty: not known
+  10: list<string> rejected_versions;   // that earlier rollouts reverted, newest last, bounded
+}
+
 /** All that the register holds. `sequence` rises by one with each value chosen. */
 struct RegisterState {
   1: i64 sequence = 0;
@@ -51,6 +73,7 @@
   5: StorageMap storage;
   6: list<string> retired;              // nodes of storage that were emptied and may be removed
   7: list<i64> removed_storage;         // identities that are members no more, newest last, bounded
+  8: list<Rollout> rollouts;            // by service, the newest of each
 }
 
 // ---- What processes learn from control ---------------------------------------------------------------------
@@ -65,6 +88,7 @@
   6: i32 slots = 0;
   7: i32 cold_left_ms = 0;
   // 8 and 9 are taken: earlier builds send them, empty.
+  10: string version;      // of its software; the same for as long as the server runs
 }
 
 /** The servers list as one reader saw it. A list with a higher (term, sequence) replaces one with a lower. */
--- a/src/control_plane/control_process.cpp
+++ b/src/control_plane/control_process.cpp
@@ -13,6 +13,7 @@
 #include <utility>
 
 #include "control_plane/json_text.hpp"
+#include "control_plane/rollout_order.hpp"
 #include "feed/watch.hpp"
 #include "io/address.hpp"
 #include "io/loop_watch.hpp"
@@ -175,6 +176,10 @@
       openings_(io, client_, server_,
                 OpeningsService::Options{static_cast<std::uint64_t>(draw_identity()),
                                          [this] { return other_controls(); }}),
+      rollouts_(
+          io, client_, server_, register_, leases_,
+          RolloutService::Options{settings.node, settings.bad_share, [this] { return other_controls(); },
+                                  [this] { return live_proxies().value_or(0); }}),
       api_(register_,
            [&] {
                OperatorApi::Options options = api_options();
@@ -186,6 +191,7 @@
     register_.on_chosen = [this](const wire::RegisterState& state) {
         publish(state);
         watches_.changed();
+        rollouts_.follow(state);
     };
     server_.on<wire::HelloRequest, wire::HelloReply>(
         kHello, [this, alive = std::weak_ptr<int>(alive_)](const wire::HelloRequest& hello,
@@ -204,6 +210,7 @@
                           api_.handle(std::move(request), std::move(respond));
                       });
     leases_.seek(kStorageMapLease);
+    leases_.seek(kRolloutsLease);
     if (!settings.list_address.empty()) leases_.seek(kServersListLease);
 }
 
@@ -329,6 +336,12 @@
         });
 }
 
+std::optional<std::size_t> ControlProcess::live_proxies() {
+    const std::size_t watched_at_once =
+        overlay_.running() ? feed::kMostChannelsBesideRelay : feed::kMostChannels;
+    return proxy_census_.live(watching_proxies_, watched_at_once, now());
+}
+
 WatchService::Source ControlProcess::watch_source() {
     WatchService::Source source;
     source.state = [this]() -> const wire::RegisterState& { return register_.known(); };
@@ -337,11 +350,7 @@
         return list_reader_.difference_since(term, sequence);
     };
     source.relay = [this] { return overlay_.running(); };
-    source.proxies = [this] {
-        const std::size_t watched_at_once =
-            overlay_.running() ? feed::kMostChannelsBesideRelay : feed::kMostChannels;
-        return proxy_census_.live(watching_proxies_, watched_at_once, now());
-    };
+    source.proxies = [this] { return live_proxies(); };
     source.list_alive = [this] { return list_reader_.alive(); };
     source.controls = [this] { return present_controls(); };
     source.read = [this](std::function<void(std::optional<wire::RegisterState>)> done) {
@@ -378,6 +387,10 @@
     options.leases = [this] { return leases_page(); };
     options.replicas = [this] { return replicas_page(); };
     options.openings = [this] { return openings_page(); };
+    options.rollouts = [this] { return rollouts_.page(); };
+    options.listed_versions = [this](const std::string& service) {
+        return listed_versions(list_reader_.list(), service);
+    };
     options.status = [this] { return status_page(); };
     return options;
 }
@@ -449,6 +462,7 @@
                            {"service", server.service_name},
                            {"address", server.address},
                            {"zone", server.zone},
+                           {"version", server.version},
                            {"draining", server.draining},
                            {"slots", server.slots}});
     return json_text({{"self", self_.node},
@@ -513,8 +527,8 @@
 
 std::string ControlProcess::counters() const {
     return "register: " + register_.counters() + "; list: " + list_reader_.counters() +
-           "; openings: " + openings_.counters() + "; watchers=" + std::to_string(watches_.waiting()) +
-           "; overlay: " + overlay_.counters() +
+           "; openings: " + openings_.counters() + "; rollouts: " + rollouts_.counters() +
+           "; watchers=" + std::to_string(watches_.waiting()) + "; overlay: " + overlay_.counters() +
            "; rpc: unreadable=" + std::to_string(server_.unreadable() + client_.stats().unreadable);
 }
 
--- a/src/control_plane/control_process.hpp
+++ b/src/control_plane/control_process.hpp
@@ -19,6 +19,7 @@
 #include "control_plane/openings_service.hpp"
 #include "control_plane/operator_api.hpp"
 #include "control_plane/proxy_census.hpp"
+#include "control_plane/rollout_service.hpp"
 #include "control_plane/servers_list_reader.hpp"
 #include "control_plane/storage_map_reconciler.hpp"
 #include "control_plane/watch_service.hpp"
@@ -61,6 +62,7 @@
 
     std::vector<std::string> other_controls() const;
     std::vector<wire::NodeInfo> present_controls() const;
+    std::optional<std::size_t> live_proxies();
     WatchService::Source watch_source();
     OperatorApi::Options api_options();
     std::string members_page() const;
@@ -88,6 +90,7 @@
     overlay::OverlayService overlay_;
     StorageMapReconciler reconciler_;
     OpeningsService openings_;
+    RolloutService rollouts_;
     OperatorApi api_;
     std::optional<HttpServer> http_;
     LoopTimer timer_;
--- a/src/control_plane/operator_api.cpp
+++ b/src/control_plane/operator_api.cpp
@@ -9,6 +9,7 @@
 
 #include "control_plane/json_text.hpp"
 #include "control_plane/retirement.hpp"
+#include "control_plane/rollout_order.hpp"
 #include "control_plane/settings_order.hpp"
 #include "serving/configuration.hpp"
 
@@ -94,15 +95,48 @@
     return std::all_of(target.begin(), target.end(), [](char c) { return c > ' ' && c < 127; });
 }
 
-// NODE of /retire/NODE/VERB.
-std::optional<std::string> retired_node(const std::string& path, const std::string& verb) {
-    static const std::string kStart = "/retire/";
+HttpAnswer answer_of(const RolloutAttempt& attempt, const StateResult& result) {
+    using Outcome = RolloutAttempt::Outcome;
+    const rollout::Order& order = attempt.order();
+    const HttpAnswer taken{
+        200, json_text(Json{{"service", order.service}, {"newVersion", order.new_version}}), std::nullopt};
+    if (result) return taken;
+    if (result.error().failure != RegisterFailure::rejected)
+        return unavailable(result.error().message + "; send the same order again");
+    switch (attempt.outcome()) {
+        case Outcome::taken:
+            return taken;
+        case Outcome::no_configuration:
+            return unavailable("no configuration has been taken yet; send the same order again later");
+        case Outcome::unknown_service:
+            return fault(404, "the configuration has no such service");
+        case Outcome::conflict:
+            break;
+        default:
+            return unavailable("another change came between; send the same order again");
+    }
+    switch (attempt.decision()) {
+        case rollout::OrderDecision::rejected_before:
+            return fault(409, "this version was reverted before; bring it in under another name");
+        case rollout::OrderDecision::runs_already:
+            return fault(409, "the service runs this version already");
+        default:
+            return fault(409, "a rollout of this service to another version has not ended; wait for its end");
+    }
+}
+
+// NAME of START/NAME/VERB.
+std::optional<std::string> named_in(const std::string& path, const std::string& start,
+                                    const std::string& verb) {
     const std::string end = "/" + verb;
-    if (!path.starts_with(kStart) || !path.ends_with(end) || path.size() <= kStart.size() + end.size())
+    if (!path.starts_with(start) || !path.ends_with(end) || path.size() <= start.size() + end.size())
         return std::nullopt;
-    return path.substr(kStart.size(), path.size() - kStart.size() - end.size());
+    return path.substr(start.size(), path.size() - start.size() - end.size());
 }
 
+constexpr const char* kRetire = "/retire/";
+constexpr const char* kRollouts = "/rollouts/";
+
 }  // namespace
 
 OperatorApi::OperatorApi(consensus::RegisterService& reg, Options options)
@@ -117,9 +151,15 @@
     if (post && path == "/settings/replace") return replace(std::move(request), std::move(respond));
     if (get && path == "/settings/read") return read(std::move(respond));
     if (post)
-        if (const auto node = retired_node(path, "begin")) return begin_retirement(*node, std::move(respond));
+        if (const auto node = named_in(path, kRetire, "begin"))
+            return begin_retirement(*node, std::move(respond));
     if (get)
-        if (const auto node = retired_node(path, "read")) return read_retirement(*node, std::move(respond));
+        if (const auto node = named_in(path, kRetire, "read"))
+            return read_retirement(*node, std::move(respond));
+    if (post && path == "/rollouts/begin") return begin_rollout(request, std::move(respond));
+    if (get)
+        if (const auto service = named_in(path, kRollouts, "read"))
+            return read_rollout(*service, std::move(respond));
     if (get && serve_page(path, respond)) return;
     respond(fault(404, "there is no such page"));
 }
@@ -172,6 +212,31 @@
     });
 }
 
+void OperatorApi::begin_rollout(const HttpRequest& request, Respond respond) {
+    auto order = parse_rollout_order(request.body);
+    if (!order) return respond(fault(400, order.error().message));
+    const std::string service = order.value().service;
+    const auto attempt = std::make_shared<RolloutAttempt>(
+        std::move(order).value(),
+        options_.listed_versions ? options_.listed_versions(service) : std::vector<std::string>());
+    register_.change([attempt](const wire::RegisterState& current) { return attempt->apply(current); },
+                     kRegisterTimeout,
+                     [attempt, respond = std::move(respond)](StateResult result) {
+                         respond(answer_of(*attempt, result));
+                     });
+}
+
+void OperatorApi::read_rollout(const std::string& service, Respond respond) {
+    register_.read(kRegisterTimeout, [service, respond = std::move(respond)](StateResult result) {
+        if (!result) return respond(unavailable(result.error().message));
+        const wire::Rollout* const newest = rollout::find_rollout(result.value(), service);
+        if (!newest) return respond(fault(404, "there has been no rollout of this service"));
+        respond({200,
+                 json_text(Json{{"state", operator_state(*newest)}, {"newVersion", newest->new_version}}),
+                 std::nullopt});
+    });
+}
+
 bool OperatorApi::serve_page(const std::string& path, const Respond& respond) const {
     const std::function<std::string()>* page = nullptr;
     if (path == "/members") page = &options_.members;
@@ -182,6 +247,7 @@
     if (path == "/overlay") page = &options_.overlay;
     if (path == "/list") page = &options_.list;
     if (path == "/status") page = &options_.status;
+    if (path == "/rollouts") page = &options_.rollouts;
     if (!page || !*page) return false;
     respond({200, (*page)(), std::nullopt});
     return true;
--- a/src/control_plane/operator_api.hpp
+++ b/src/control_plane/operator_api.hpp
@@ -1,4 +1,5 @@
-// The operator's calls over HTTP: the configuration, retirement of storage machines, and pages to look at.
+// The operator's calls over HTTP: the configuration, retirement of storage machines, rollouts, and pages to
+// look at.
 #pragma once
 
 #include <cstdint>
@@ -6,6 +7,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "consensus/register_service.hpp"
 #include "control_plane/http_server.hpp"
@@ -20,8 +22,11 @@
         std::function<bool(const std::string& node)> storage_heard;
         std::function<std::set<std::int64_t>()>
             storages_voting;  // identities of those that are there and vote
+        // Versions of a service's servers on the platform's list; empty: not known.
+        std::function<std::vector<std::string>(const std::string& service)> listed_versions;
         // Pages for whinledge-ctl, by path; JSON.
-        std::function<std::string()> members, acceptors, leases, replicas, openings, overlay, list, status;
+        std::function<std::string()> members, acceptors, leases, replicas, openings, overlay, list, status,
+            rollouts;
     };
     OperatorApi(consensus::RegisterService& reg, Options options);
 
@@ -32,6 +37,8 @@
     void read(HttpServer::Respond respond);
     void begin_retirement(const std::string& node, HttpServer::Respond respond);
     void read_retirement(const std::string& node, HttpServer::Respond respond);
+    void begin_rollout(const HttpRequest& request, HttpServer::Respond respond);
+    void read_rollout(const std::string& service, HttpServer::Respond respond);
     bool serve_page(const std::string& path, const HttpServer::Respond& respond) const;
 
     consensus::RegisterService& register_;
--- a/src/data_plane/exchange.cpp
+++ b/src/data_plane/exchange.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 #include <utility>
 
 #include "http/message.hpp"
@@ -128,16 +129,24 @@
 }
 
 void Exchange::dispatch() {
-    const ServicePools::Place place = host_.pools.place(service_, effect(), request_.route->timeout_ms);
+    const std::string& program = request_.facts.program;
+    const std::uint64_t line = program.empty() ? static_cast<std::uint64_t>(std::ldexp(host_.draw(), 53))
+                                               : placement::name_hash(program);
+    dispatch_to(host_.pools.choose_pool(service_, line));
+}
+
+void Exchange::dispatch_to(std::string pool_name) {
+    pool_name_ = std::move(pool_name);
+    const ServicePools::Place place = host_.pools.place(pool_name_, effect(), request_.route->timeout_ms);
     if (!place.pool || time_left() <= 0) return refused(0);
     Arrival arrival;
     arrival.class_index = place.class_index;
     arrival.time_left = time_left();
     prompt_ = placement_request();
-    arrival.candidates = host_.pools.candidates(service_, prompt_);
+    arrival.candidates = host_.pools.candidates(pool_name_, prompt_);
     if (streams()) {
         awaited_ = {host_.clock.now(), request_.route->target_ms};
-        host_.pools.awaits(service_, *awaited_);
+        host_.pools.awaits(pool_name_, *awaited_);
     }
     const auto self = shared_from_this();
     place.pool->take(self, arrival);
@@ -196,7 +205,7 @@
 Upstream::Request Exchange::outgoing_to(std::string_view member, Millis time_left) const {
     member_ = member;
     sent_ = true;
-    host_.pools.sent(service_, id, member, prompt_);
+    host_.pools.sent(pool_name_, id, member, prompt_, request_.route->name);
     Upstream::Request to;
     to.head = head_for(time_left);
     to.body = body_;
@@ -215,7 +224,7 @@
     });
     head.add("Time-Left", static_cast<std::uint64_t>(std::max(1.0, time_left)));
     if (!member_.empty()) head.add("Wanted-Server", member_);
-    const Millis needs = host_.pools.idle_ms(service_, prompt_);
+    const Millis needs = host_.pools.idle_ms(pool_name_, prompt_);
     if (needs > 0 && host_.pools.mechanisms().urgency) {
         placement::UrgencyFacts facts;
         facts.rank = request_.route->priority;
@@ -244,7 +253,7 @@
         ++host_.counters.foreign_answers;
         return Outcome::severed;
     }
-    host_.pools.load_seen(service_, member_, view(answer["Server-Load"]));
+    host_.pools.load_seen(pool_name_, member_, view(answer["Server-Load"]));
     const unsigned status = answer.result_int();
     if (status == 421) {  // it is another server than we were told of
         if (host_.wrong_server) host_.wrong_server(member_);
@@ -258,7 +267,7 @@
 // ---- To its client ----------------------------------------------------------------------------------------
 
 std::shared_ptr<AnswerSink> Exchange::release_client() noexcept {
-    if (const auto event = std::exchange(awaited_, std::nullopt)) host_.pools.withdrawn(service_, *event);
+    if (const auto event = std::exchange(awaited_, std::nullopt)) host_.pools.withdrawn(pool_name_, *event);
     return std::exchange(client_, nullptr);
 }
 
@@ -274,7 +283,8 @@
     host_.pools.first_event(id);
     if (!streams()) return;
     host_.times.first_event.record(judged_at - request_.received);
-    if (const auto event = std::exchange(awaited_, std::nullopt)) host_.pools.stream_began(service_, *event);
+    if (const auto event = std::exchange(awaited_, std::nullopt))
+        host_.pools.stream_began(pool_name_, *event);
 }
 
 void Exchange::handed(std::string_view bytes) {
@@ -350,6 +360,8 @@
 // For a request that can't be repeated this is proof: it never ran, and never will.
 void Exchange::refused(Millis retry_in) noexcept {
     const bool may_have_run = effect() == Effect::repeatable && sent_;
+    // A new version on trial has few servers: where they take nothing, the others may.
+    if (!may_have_run && client_ && pool_name_ != service_ && time_left() > 0) return dispatch_to(service_);
     if (may_have_run && (last_ || time_left() <= 0)) return failed(Failure::gave_up);
     ++host_.counters.refused;
     settle(false);
--- a/src/data_plane/exchange.hpp
+++ b/src/data_plane/exchange.hpp
@@ -124,6 +124,7 @@
     void put_off();
     void begun(storage_plane::BegunTurn turn);
     void dispatch();
+    void dispatch_to(std::string pool_name);
     void stream_whole(HttpAnswer& answer) noexcept;
     const std::string& choose_service();
     std::string head_for(Millis time_left) const;
@@ -141,6 +142,7 @@
     Request request_;
     Millis deadline_;
     std::string service_;
+    std::string pool_name_;  // of the service's pools: that of the version that was chosen
     std::optional<Turn> turn_;
     bool beginning_ = false;                          // the ledger has been asked to begin its turn
     bool turn_open_ = false;                          // begun, and neither ended nor settled
--- a/src/data_plane/openings_share.cpp
+++ b/src/data_plane/openings_share.cpp
@@ -1,15 +1,13 @@
 #include "data_plane/openings_share.hpp"
 
-#include <algorithm>
 #include <chrono>
 #include <optional>
-#include <tuple>
 #include <utility>
 
+#include "data_plane/preferred_control.hpp"
 #include "io/steady_millis.hpp"
 #include "openings/calls.hpp"
 #include "openings/messages.hpp"
-#include "placement/prompt.hpp"
 
 namespace whinledge::data_plane {
 
@@ -42,7 +40,8 @@
 }
 
 void OpeningsShare::tell(const openings::Teller::Word& word) {
-    const std::string address = control();
+    const std::string address =
+        preferred_control(options_.controls(), options_.zone, options_.node, failures_ / kFailuresUntilNext);
     if (address.empty()) return teller_.failed();
     ++words_;
     client_.call<wire::OpeningsRequest, wire::OpeningsReply>(
@@ -71,19 +70,6 @@
     options_.shared(sum);
 }
 
-// Those of the own zone first, in an order that is another for each node, so that nodes spread over them.
-std::string OpeningsShare::control() const {
-    std::vector<wire::NodeInfo> controls = options_.controls();
-    if (controls.empty()) return {};
-    const auto order = [this](const wire::NodeInfo& control) {
-        return std::make_tuple(control.zone != options_.zone,
-                               placement::mixed(placement::name_hash(control.address), options_.node));
-    };
-    std::sort(controls.begin(), controls.end(),
-              [&order](const auto& a, const auto& b) { return order(a) < order(b); });
-    return controls[failures_ / kFailuresUntilNext % controls.size()].address;
-}
-
 std::string OpeningsShare::counters() const {
     return "openings: words=" + std::to_string(words_) + " failed=" + std::to_string(failed_) +
            " sums=" + std::to_string(sums_) + " shared=" + std::to_string(holds_sum_ ? 1 : 0);
--- a/src/data_plane/openings_share.hpp
+++ b/src/data_plane/openings_share.hpp
@@ -35,8 +35,6 @@
     void look();
     void tell(const openings::Teller::Word& word);
     void ended(bool answered);
-    // The control process that is told; empty: none is known.
-    std::string control() const;
     void publish(const openings::Traffic& sum);
 
     rpc::Client& client_;
--- a/src/data_plane/proxy.cpp
+++ b/src/data_plane/proxy.cpp
@@ -33,7 +33,9 @@
 // After SIGTERM: the platform sends new connections until it has missed two answers, a second apart.
 constexpr Millis kStillAccepting = 2600;
 constexpr double kAcceptingShare = 0.4;  // of the grace, at most
-constexpr double kHurryShare = 0.9;      // of the grace: whatever is left then fails
+// Of the time within which a bad version gets no more: how long a permit to try it holds.
+constexpr double kPermitPart = 0.4;
+constexpr double kHurryShare = 0.9;  // of the grace: whatever is left then fails
 
 std::size_t half_of_sockets(const node::Settings& settings) {
     const auto files = static_cast<std::size_t>(std::max<std::int64_t>(0, settings.open_files));
@@ -84,6 +86,15 @@
     return mechanisms ? mechanisms.value() : placement::Mechanisms();
 }
 
+RolloutRules rollout_rules(const node::Settings& settings) {
+    RolloutRules rules;
+    const auto& parts = settings.rule_parts;
+    rules.by_order = std::find(parts.begin(), parts.end(), "rollout") != parts.end();
+    if (settings.bad_share > 0) rules.bad_share = settings.bad_share;
+    if (settings.undo_ms > 0) rules.permit_holds = kPermitPart * static_cast<Millis>(settings.undo_ms);
+    return rules;
+}
+
 Door::Tcp::endpoint endpoint(const std::string& address) { return endpoint_of<asio::ip::tcp>(address); }
 
 }  // namespace
@@ -125,6 +136,7 @@
       feed_(io, rpc_, feed_options(settings, static_cast<std::int64_t>(random_() >> 1))),
       relay_(io, rpc_, feed_, relay_options(settings)),
       openings_(io, rpc_, openings_options()),
+      rollouts_(io, rpc_, rollout_options()),
       turn_client_(io, rpc_, turn_options()),
       turns_(std::make_unique<Turns>(turn_client_)),
       host_{clock_, pools_, *turns_, [this] { return std::uniform_real_distribution<double>()(random_); },
@@ -161,6 +173,7 @@
     options.seed = random_();
     options.admission = admission_settings(settings_);
     options.mechanisms = mechanisms_of(settings_);
+    options.rollouts = rollout_rules(settings_);
     if (!settings_.shared_connections) return options;
     options.limit_connections = [this](PoolId pool, std::size_t each_server) {
         transport_.upstream().limit_connections(pool, each_server);
@@ -188,9 +201,25 @@
     return options;
 }
 
+RolloutShare::Options Proxy::rollout_options() {
+    RolloutShare::Options options;
+    options.node = random_();
+    options.zone = settings_.zone;
+    options.controls = [this] { return feed_.controls(); };
+    options.reports = [this, node = options.node] {
+        return pools_.rollout_reports(static_cast<std::int64_t>(node >> 1));
+    };
+    options.heard = [this](std::int64_t number, const wire::RolloutReportReply& reply) {
+        pools_.rollout_reply(number, reply);
+    };
+    return options;
+}
+
 // The snapshot in force is swapped whole; requests under way keep theirs.
 void Proxy::apply(const wire::RegisterState& state) {
     turn_client_.set_map(state.storage);
+    pools_.set_rollouts(state.rollouts);
+    rollouts_.wake();
     if (state.version == 0 || (in_force_ && in_force_->version == state.version)) return;
     auto parsed = serving::parse_configuration(state.configuration);
     if (!parsed) {
@@ -201,6 +230,7 @@
     in_force_ = std::move(parsed.value());
     pools_.configure(*in_force_);
     LOG(INFO) << "configuration " << in_force_->version << " is in force";
+    rollouts_.wake();
     if (ingress_) ingress_->configured();
 }
 
@@ -295,7 +325,7 @@
          << " turn_ended_ms=" << host_.times.turn_ended.summary() << " own_list_readings=" << own_readings_
          << " own_list_failures=" << own_failures_ << " version=" << (in_force_ ? in_force_->version : 0)
          << " pools: " << pools_.counters() << " feed: " << feed_.counters()
-         << " overlay: " << relay_.counters() << " " << openings_.counters()
+         << " overlay: " << relay_.counters() << " " << openings_.counters() << " " << rollouts_.counters()
          << " turns: " << turn_client_.counters() << " rpc: calls=" << rpc_.stats().calls
          << " failed=" << rpc_.stats().failed << " unreadable=" << rpc_.stats().unreadable
          << " bytes_out=" << rpc_.stats().bytes_out << " bytes_in=" << rpc_.stats().bytes_in
--- a/src/data_plane/proxy.hpp
+++ b/src/data_plane/proxy.hpp
@@ -15,6 +15,7 @@
 #include "data_plane/list_pace.hpp"
 #include "data_plane/openings_share.hpp"
 #include "data_plane/readiness.hpp"
+#include "data_plane/rollout_share.hpp"
 #include "data_plane/service_pools.hpp"
 #include "engine/engine.hpp"
 #include "feed/feed.hpp"
@@ -56,6 +57,7 @@
     ServicePools::Options pool_options();
     storage_plane::TurnClient::Options turn_options();
     OpeningsShare::Options openings_options();
+    RolloutShare::Options rollout_options();
     // The storage plane as exchanges see it.
     class Turns;
 
@@ -81,6 +83,7 @@
     feed::Feed feed_;
     feed::FeedRelay relay_;
     OpeningsShare openings_;
+    RolloutShare rollouts_;
     storage_plane::TurnClient turn_client_;
     std::unique_ptr<TurnStore> turns_;
     ExchangeHost host_;
--- a/src/data_plane/service_pools.cpp
+++ b/src/data_plane/service_pools.cpp
@@ -19,6 +19,8 @@
 constexpr Millis kLeastAim = 25;
 constexpr double kAimStep = 2;
 constexpr int kAimSteps = 10;
+constexpr Millis kLongWait = 1000;  // of an attempt that was withdrawn
+constexpr char kVersionMark = '@';  // between a service's name and a version's in the name of a pool
 
 Effect effect_of(serving::RouteKind kind) {
     return kind == serving::RouteKind::repeatable ? Effect::repeatable : Effect::once;
@@ -63,43 +65,189 @@
             ++at;
             continue;
         }
-        if (options_.limit_connections) options_.limit_connections(at->second.pool->id(), 0);
-        engine_.remove_pool(*at->second.pool);
-        std::erase_if(open_sends_,
-                      [&](const auto& open) { return open.second.placement == at->second.placement.get(); });
+        if (const auto candidate = candidates_.find(at->first); candidate != candidates_.end()) {
+            remove_pool(candidate->second.pool);
+            candidates_.erase(candidate);
+        }
+        remove_pool(at->second);
         at = pools_.erase(at);
     }
     for (const serving::Service& service : configuration.services) {
-        if (const auto known = pools_.find(service.name); known != pools_.end()) {
-            set_engine(known->second, service);
-            tell_openings(service.name, known->second);
-            set_max_connections(known->second, service);
+        const auto known = pools_.find(service.name);
+        if (known == pools_.end()) {
+            pools_.emplace(service.name,
+                           make_pool(service, service.name, classes_of(configuration, service.name)));
+            reconcile_candidate(service.name);
+            tell_members(service.name);
             continue;
         }
-        Pool::Options options;
-        options.name = service.name;
-        options.seed = options_.seed ^ std::hash<std::string>()(service.name);
-        options.zones = {options_.zone};
-        Settings& decisions = options.decisions;
-        decisions.classes = classes_of(configuration, service.name);
-        decisions.my_zone = 0;
-        decisions.max_attempts = kMostAttempts;
-        decisions.warm_within = kWarmWithin;
-        decisions.cold_from = kColdFrom;
-        decisions.doubt = kDoubt;
-        decisions.fees.cross_zone = kCrossZoneFee;
-        ServicePool made{nullptr, decisions.classes, nullptr,
-                         placement::ProgramAdmission(options_.admission, engine_.now())};
-        set_engine(made, service);
-        made.pool = &engine_.add_pool(std::move(options), transport_, this, {});
-        made.pool->start();
-        set_max_connections(made, service);
-        tell_openings(service.name, made);
-        pools_.emplace(service.name, std::move(made));
-        tell_members(service.name);
+        std::vector<ServicePool*> pools{&known->second};
+        if (const auto candidate = candidates_.find(service.name); candidate != candidates_.end())
+            pools.push_back(&candidate->second.pool);
+        for (ServicePool* const pool : pools) {
+            pool->service = service;
+            set_engine(*pool, service);
+            set_max_connections(*pool, service);
+        }
+        tell_openings(service.name, known->second);
+    }
+}
+
+ServicePools::ServicePool ServicePools::make_pool(const serving::Service& service, std::string name,
+                                                  std::vector<RequestClass> classes) {
+    Pool::Options options;
+    options.seed = options_.seed ^ std::hash<std::string>()(name);
+    options.name = std::move(name);
+    options.zones = {options_.zone};
+    Settings& decisions = options.decisions;
+    decisions.classes = std::move(classes);
+    decisions.my_zone = 0;
+    decisions.max_attempts = kMostAttempts;
+    decisions.warm_within = kWarmWithin;
+    decisions.cold_from = kColdFrom;
+    decisions.doubt = kDoubt;
+    decisions.fees.cross_zone = kCrossZoneFee;
+    ServicePool made{service, nullptr, decisions.classes, nullptr,
+                     placement::ProgramAdmission(options_.admission, engine_.now())};
+    set_engine(made, service);
+    made.pool = &engine_.add_pool(std::move(options), transport_, this, {});
+    made.pool->start();
+    set_max_connections(made, service);
+    tell_openings(service.name, made);
+    return made;
+}
+
+void ServicePools::remove_pool(ServicePool& pool) {
+    if (options_.limit_connections) options_.limit_connections(pool.pool->id(), 0);
+    engine_.remove_pool(*pool.pool);
+    std::erase_if(open_sends_,
+                  [&](const auto& open) { return open.second.placement == pool.placement.get(); });
+}
+
+ServicePools::ServicePool* ServicePools::find_pool(std::string_view name) {
+    return const_cast<ServicePool*>(std::as_const(*this).find_pool(name));
+}
+
+const ServicePools::ServicePool* ServicePools::find_pool(std::string_view name) const {
+    if (const auto at = pools_.find(name); at != pools_.end()) return &at->second;
+    const auto end = name.rfind(kVersionMark);
+    if (end == std::string_view::npos) return nullptr;
+    const std::string_view service = name.substr(0, end);
+    const auto candidate = candidates_.find(service);
+    if (candidate != candidates_.end() && candidate->second.name == name) return &candidate->second.pool;
+    const auto at = pools_.find(service);
+    return at == pools_.end() ? nullptr : &at->second;
+}
+
+// ---- Versions ---------------------------------------------------------------------------------------------
+
+ServiceRollout& ServicePools::rollout_of(const std::string& service) {
+    return rollouts_.try_emplace(service, options_.rollouts).first->second;
+}
+
+void ServicePools::set_rollouts(const std::vector<wire::Rollout>& rollouts) {
+    std::map<std::string, const wire::Rollout*> newest;
+    for (const auto& [service, rollout] : rollouts_) newest.emplace(service, nullptr);
+    for (const wire::Rollout& rollout : rollouts) newest[rollout.service_name] = &rollout;
+    for (const auto& [service, record] : newest) {
+        if (!rollout_of(service).set_record(record, engine_.now())) continue;
+        reconcile_candidate(service);
+        tell_members(service);
     }
 }
 
+void ServicePools::reconcile_candidate(const std::string& service) {
+    const auto serving = pools_.find(service);
+    if (serving == pools_.end()) return;
+    const ServiceRollout& rollout = rollout_of(service);
+    const std::string* const version = rollout.candidate_version();
+    const std::string* const finished = rollout.finished_version();
+    const auto name_of = [&](const std::string& of) { return service + kVersionMark + of; };
+    const auto at = candidates_.find(service);
+    if (at != candidates_.end() && !(version && at->second.name == name_of(*version))) {
+        if (finished && at->second.name == name_of(*finished)) std::swap(serving->second, at->second.pool);
+        remove_pool(at->second.pool);
+        candidates_.erase(at);
+    }
+    if (!version || candidates_.contains(service)) return;
+    candidates_.emplace(
+        service, Candidate{name_of(*version),
+                           make_pool(serving->second.service, name_of(*version), serving->second.classes)});
+}
+
+std::string ServicePools::choose_pool(const std::string& service, std::uint64_t line) const {
+    const auto candidate = candidates_.find(service);
+    if (candidate == candidates_.end()) return service;
+    const auto serving = pools_.find(service);
+    const bool candidate_ready = candidate->second.pool.pool->ready() > 0;
+    // Where the old servers have all gone there is nobody else.
+    const bool serving_ready = serving != pools_.end() && serving->second.pool->ready() > 0;
+    const ServiceRollout& rollout = rollouts_.find(service)->second;
+    const double share = rollout.candidate_share(engine_.now());
+    const auto mixed = placement::mixed(line, static_cast<std::uint64_t>(rollout.number()));
+    const double draw = std::ldexp(static_cast<double>(mixed >> 11), -53);
+    const bool goes_there = candidate_ready && (draw < share || !serving_ready);
+    return goes_there ? candidate->second.name : service;
+}
+
+std::vector<wire::RolloutReport> ServicePools::rollout_reports(std::int64_t proxy) {
+    std::vector<wire::RolloutReport> reports;
+    for (const auto& [service, candidate] : candidates_) {
+        ServiceRollout& rollout = rollouts_.find(service)->second;
+        if (rollout.trial_is_due(engine_.now())) tell_members(service);
+        const ServiceRollout::OpenRequests open{pools_.find(service)->second.pool->open(),
+                                                candidate.pool.pool->open()};
+        reports.push_back(rollout.report(proxy, open, engine_.now()));
+    }
+    return reports;
+}
+
+void ServicePools::rollout_reply(std::int64_t number, const wire::RolloutReportReply& reply) {
+    for (auto& [service, rollout] : rollouts_)
+        if (number != 0 && rollout.number() == number) rollout.hear(reply, engine_.now());
+}
+
+void ServicePools::note_for_rollout(std::string_view pool, RequestId id, std::string_view server,
+                                    std::string_view route) {
+    if (candidates_.empty()) return;
+    const auto version = pool.rfind(kVersionMark);
+    const bool is_service = pools_.contains(pool) || version == std::string_view::npos;
+    const auto candidate = candidates_.find(is_service ? pool : pool.substr(0, version));
+    if (candidate == candidates_.end()) return;
+    RolloutAttempt& attempt = rollout_attempts_[id];
+    attempt.service = candidate->first;
+    attempt.number = rollouts_.find(candidate->first)->second.number();
+    attempt.server = server;
+    attempt.attempt.route = rollout::route_id(route);
+    attempt.attempt.sent_at = engine_.now();
+    attempt.attempt.at_candidate = pool == candidate->second.name;
+    const auto started = started_.find(attempt.server);
+    attempt.attempt.warm = started == started_.end() || started->second + kWarmWithin <= engine_.now();
+}
+
+// What the server made of it; what says nothing of the server is left out.
+void ServicePools::count_for_rollout(const AttemptEnded& end) {
+    const auto open = rollout_attempts_.find(end.id);
+    if (open == rollout_attempts_.end()) return;
+    RolloutAttempt attempt = std::move(open->second);
+    rollout_attempts_.erase(open);
+    const bool failed =
+        end.outcome == Outcome::errored || end.outcome == Outcome::overdue || end.outcome == Outcome::severed;
+    // What a client gave up after a while tells that it takes at least so long.
+    const bool waited_long =
+        end.outcome == Outcome::recalled && engine_.now() - attempt.attempt.sent_at >= kLongWait;
+    if (!failed && !waited_long && end.outcome != Outcome::completed) return;
+    if (waited_long && !attempt.attempt.first_event_at) attempt.attempt.first_event_at = engine_.now();
+    const auto rollout = rollouts_.find(attempt.service);
+    if (rollout == rollouts_.end() || rollout->second.number() != attempt.number) return;
+    attempt.attempt.server = attempt.server;
+    attempt.attempt.failed = failed;
+    attempt.attempt.ended_at = engine_.now();
+    rollout->second.ended(attempt.attempt);
+}
+
+// ---- The list ---------------------------------------------------------------------------------------------
+
 void ServicePools::set_servers(const wire::ServersList& list) {
     std::map<std::string_view, std::vector<const wire::ListedServer*>> listed;
     for (const wire::ListedServer& server : list.servers) listed[server.service_name].push_back(&server);
@@ -167,20 +315,28 @@
 void ServicePools::tell_members(const std::string& service, const std::set<std::string_view>& unchanged) {
     const auto pool = pools_.find(service);
     if (pool == pools_.end()) return;
+    const rollout::VersionArms arms = rollout_of(service).arms(servers_[service], engine_.now());
+    tell_pool(pool->second, arms.serving, unchanged);
+    if (const auto candidate = candidates_.find(service); candidate != candidates_.end())
+        tell_pool(candidate->second.pool, arms.candidate, {});
+}
+
+void ServicePools::tell_pool(ServicePool& pool, const std::vector<const wire::ListedServer*>& servers,
+                             const std::set<std::string_view>& unchanged) {
     MemberList list;
     list.full = unchanged.empty();
-    for (const wire::ListedServer& server : servers_[service])
-        if (!replaced_.contains(server.id) && !unchanged.contains(server.id))
-            list.members.push_back(member(server));
-    pool->second.pool->members(list);
-    if (!pool->second.placement) return;
+    for (const wire::ListedServer* const server : servers)
+        if (!replaced_.contains(server->id) && !unchanged.contains(server->id))
+            list.members.push_back(member(*server));
+    pool.pool->members(list);
+    if (!pool.placement) return;
     std::vector<placement::ListedServer> listed;
-    for (const wire::ListedServer& server : servers_[service])
-        if (!replaced_.contains(server.id))
-            listed.push_back({server.id, server.zone, server.draining,
-                              std::max(0.0, started_.at(server.id) + kWarmWithin - engine_.now()),
-                              server.slots});
-    pool->second.placement->set_servers(listed, engine_.now());
+    for (const wire::ListedServer* const server : servers)
+        if (!replaced_.contains(server->id))
+            listed.push_back({server->id, server->zone, server->draining,
+                              std::max(0.0, started_.at(server->id) + kWarmWithin - engine_.now()),
+                              server->slots});
+    pool.placement->set_servers(listed, engine_.now());
 }
 
 // ---- Connections of a server, shared out among proxies ----------------------------------------------------
@@ -254,8 +410,8 @@
 }
 
 placement::Placement* ServicePools::placement_of(std::string_view service) const {
-    const auto at = pools_.find(service);
-    return at == pools_.end() ? nullptr : at->second.placement.get();
+    const ServicePool* const pool = find_pool(service);
+    return pool ? pool->placement.get() : nullptr;
 }
 
 std::vector<std::string> ServicePools::candidates(std::string_view service,
@@ -270,7 +426,8 @@
 }
 
 void ServicePools::sent(std::string_view service, RequestId id, std::string_view server,
-                        const placement::Request& request) {
+                        const placement::Request& request, std::string_view route) {
+    note_for_rollout(service, id, server, route);
     placement::Placement* const placement = placement_of(service);
     if (!placement) return;
     placement->sent(next_send_, server, request, engine_.now());
@@ -314,8 +471,8 @@
 
 placement::ProgramAdmission* ServicePools::admission_of(std::string_view service) {
     if (!options_.admission.on) return nullptr;
-    const auto at = pools_.find(service);
-    return at == pools_.end() || !at->second.placement ? nullptr : &at->second.admission;
+    ServicePool* const pool = find_pool(service);
+    return pool && pool->placement ? &pool->admission : nullptr;
 }
 
 bool ServicePools::admit(std::string_view service, const placement::ProgramTurn& turn) {
@@ -343,11 +500,16 @@
 }
 
 void ServicePools::event(const Pool&, Millis now, const Event& event) noexcept {
-    if (open_sends_.empty()) return;
-    if (const auto* const end = std::get_if<AttemptEnded>(&event)) ended(*end, now);
+    if (open_sends_.empty() && rollout_attempts_.empty()) return;
+    const auto* const end = std::get_if<AttemptEnded>(&event);
+    if (!end) return;
+    count_for_rollout(*end);
+    ended(*end, now);
 }
 
 void ServicePools::first_event(RequestId id) {
+    if (const auto attempt = rollout_attempts_.find(id); attempt != rollout_attempts_.end())
+        attempt->second.attempt.first_event_at = engine_.now();
     if (const auto open = open_sends_.find(id); open != open_sends_.end())
         open->second.placement->began(open->second.id, engine_.now());
 }
@@ -369,16 +531,16 @@
 
 // The class whose aim is nearest, as a multiple.
 ServicePools::Place ServicePools::place(std::string_view service, Effect effect, Millis aim) const {
-    const auto at = pools_.find(service);
-    if (at == pools_.end()) return {};
-    const auto& classes = at->second.classes;
+    const ServicePool* const found = find_pool(service);
+    if (!found) return {};
+    const auto& classes = found->classes;
     const auto distance = [&](const RequestClass& c) {
         return c.effect == effect ? std::abs(std::log(std::max(1.0, aim) / c.aim)) : HUGE_VAL;
     };
     const auto nearest = std::min_element(classes.begin(), classes.end(), [&](const auto& a, const auto& b) {
         return distance(a) < distance(b);
     });
-    return {at->second.pool, static_cast<std::uint32_t>(nearest - classes.begin())};
+    return {found->pool, static_cast<std::uint32_t>(nearest - classes.begin())};
 }
 
 std::string ServicePools::counters() const {
--- a/src/programs/ctl_main.cpp
+++ b/src/programs/ctl_main.cpp
@@ -7,6 +7,7 @@
 #include <iostream>
 #include <iterator>
 #include <map>
+#include <nlohmann/json.hpp>
 #include <sstream>
 #include <string>
 #include <thread>
@@ -25,7 +26,9 @@
 Usage:
   whinledge-ctl (settings | config) read [options]
   whinledge-ctl (settings | config) replace FILE --based-on=VERSION [options]
-  whinledge-ctl (members | acceptors | leases | replicas | openings | overlay | list | status) [--watch] [--json] [options]
+  whinledge-ctl (members | acceptors | leases | replicas | openings | overlay | list | status | rollouts) [--watch] [--json] [options]
+  whinledge-ctl rollouts begin SERVICE VERSION --within=SECONDS [options]
+  whinledge-ctl rollouts read SERVICE [options]
   whinledge-ctl retire begin NODE [--within=SECONDS] [options]
   whinledge-ctl retire read NODE [options]
   whinledge-ctl check configuration FILE
@@ -39,13 +42,14 @@
   overlay    links to others                     list     the servers as read from the platform
   openings   beginnings of prompts that are busiest now
   status     versions and counters of the process that answers
+  rollouts   new versions of services, how far they are and what was seen of them
 
 Options:
   --json              Pages as JSON, not as text.
   --watch             Again each second.
   --at=ADDRESSES      Control processes, IP:PORT, joined by commas; else WHINLEDGE_CONTROL.
   --limit=SECONDS     How long to go on asking [default: 10].
-  --within=SECONDS    By when the machine is to be empty [default: 30].
+  --within=SECONDS    By when the machine is to be empty, or the new version in place [default: 30].
 
 Status: 0 done, 1 refused (the reason is on standard error), 2 wrong usage, 3 no clear answer (an order may have
 been taken; send the same again).
@@ -112,6 +116,16 @@
                {"POST", path + "/begin", "{\"withinS\":" + arguments.at("--within").asString() + "}", {}});
 }
 
+int rollout(const Arguments& arguments) {
+    const std::string service = arguments.at("SERVICE").asString();
+    if (arguments.at("read").asBool())
+        return ask(arguments, {"GET", "/rollouts/" + service + "/read", {}, {}});
+    const double within = std::strtod(arguments.at("--within").asString().c_str(), nullptr);
+    const nlohmann::json order{
+        {"service", service}, {"newVersion", arguments.at("VERSION").asString()}, {"withinS", within}};
+    return ask(arguments, {"POST", "/rollouts/begin", order.dump(), {}});
+}
+
 int show(const Arguments& arguments, const std::string& page) {
     for (;;) {
         const Form form = arguments.at("--json").asBool() ? Form::as_it_is : Form::text;
@@ -148,8 +162,9 @@
     if (chosen("settings") || chosen("config"))
         return chosen("read") ? ask(arguments, {"GET", "/settings/read", {}, {}}) : replace(arguments);
     if (chosen("retire")) return retire(arguments);
+    if (chosen("rollouts") && (chosen("begin") || chosen("read"))) return rollout(arguments);
     for (const char* page :
-         {"members", "acceptors", "leases", "replicas", "openings", "overlay", "list", "status"})
+         {"members", "acceptors", "leases", "replicas", "openings", "overlay", "list", "status", "rollouts"})
         if (chosen(page)) return show(arguments, page);
     return kWrongUsage;
 }
--- a/src/rpc/known_values.hpp
+++ b/src/rpc/known_values.hpp
@@ -15,6 +15,7 @@
 #include "control_types.h"   // generated from idl/control.thrift
 #include "overlay_types.h"   // generated from idl/overlay.thrift
 #include "register_types.h"  // generated from idl/register.thrift
+#include "rollout_types.h"   // generated from idl/rollout.thrift
 #include "storage_types.h"   // generated from idl/storage.thrift
 
 namespace whinledge::rpc {
@@ -24,6 +25,7 @@
 
 // The largest number of each; they are numbered from 0 without gaps.
 constexpr std::int32_t last_number(wire::StorageState::type) { return wire::StorageState::retiring; }
+constexpr std::int32_t last_number(wire::RolloutPhase::type) { return wire::RolloutPhase::reverted; }
 constexpr std::int32_t last_number(wire::NodeRole::type) { return wire::NodeRole::storage; }
 constexpr std::int32_t last_number(wire::AcceptorStatus::type) { return wire::AcceptorStatus::not_stored; }
 constexpr std::int32_t last_number(wire::EntryState::type) { return wire::EntryState::cancelled; }
@@ -58,7 +60,12 @@
     return is_known<wire::StorageState::type>(member.state);
 }
 inline bool has_known_values(const wire::StorageMap& map) { return all_known(map.members); }
-inline bool has_known_values(const wire::RegisterState& state) { return has_known_values(state.storage); }
+inline bool has_known_values(const wire::Rollout& rollout) {
+    return is_known<wire::RolloutPhase::type>(rollout.phase);
+}
+inline bool has_known_values(const wire::RegisterState& state) {
+    return has_known_values(state.storage) && all_known(state.rollouts);
+}
 inline bool has_known_values(const wire::NodeInfo& info) { return is_known<wire::NodeRole::type>(info.role); }
 inline bool has_known_values(const wire::WatchRequest& request) { return has_known_values(request.who); }
 inline bool has_known_values(const wire::WatchReply& reply) {
@@ -72,6 +79,11 @@
     return has_known_values(reply.who) && all_known(reply.controls);
 }
 
+inline bool has_known_values(const wire::RolloutReport& report) {
+    return is_known<wire::RolloutPhase::type>(report.phase);
+}
+inline bool has_known_values(const wire::RolloutExchange& exchange) { return all_known(exchange.reports); }
+
 inline bool has_known_values(const wire::Entry& entry) { return has_known_values(entry.state); }
 inline bool has_known_values(const wire::ChosenValue& value) { return has_known_values(value.entry); }
 inline bool has_known_values(const wire::AcceptRequest& request) { return has_known_values(request.entry); }
--- a/tests/tier/control_plane/control_process_test.cpp
+++ b/tests/tier/control_plane/control_process_test.cpp
@@ -167,6 +167,19 @@
         }
         return status;
     }
+    int begin_rollout(int i, const std::string& order) {
+        return call(i, "POST /rollouts/begin", "", order)->status();
+    }
+    int begin_rollout_somewhere(int first, const std::string& order) {
+        int status = 0;
+        for (int tries = 0; tries < 20; ++tries) {
+            status = begin_rollout((first + tries) % 3, order);
+            if (status != 503 && status != 0) return status;
+            io.restart();
+            io.run_for(100ms);
+        }
+        return status;
+    }
     // Who reads the platform's list; -1: nobody, -2: two.
     int list_reader() {
         int reader = -1;
@@ -527,6 +540,84 @@
     }));
 }
 
+// Guards against calls of the operators' pages that no process takes: POST /rollouts/begin was answered 404,
+// so the order had no acknowledgement (SHORT on gebeta-desk-rollout and mvc-relay-rollout).
+TEST_F(ControlPlane, EveryCallOfThePagesIsTaken) {
+    ASSERT_EQ(replace_somewhere(0, 0, configuration(7)), 200);
+    const struct {
+        const char* head;
+        const char* body;
+        int status;
+        std::vector<std::string> fields;  // of the answer
+    } calls[] = {
+        {"POST /settings/replace", "{}", 400, {"error"}},
+        {"GET /settings/read", "", 200, {"version", "routes", "services"}},
+        {"POST /rollouts/begin", R"({"service":"s","newVersion":"v2","withinS":12})", 200, {}},
+        {"GET /rollouts/s/read", "", 200, {"state", "newVersion"}},
+        {"POST /retire/storage-9/begin", R"({"withinS":10})", 404, {"error"}},
+        {"GET /retire/storage-9/read", "", 404, {"error"}},
+    };
+    for (const auto& one : calls)
+        for (int i = 0; i < 3; ++i) {
+            SCOPED_TRACE(one.head);
+            const auto answer = call(i, one.head, "", one.body);
+            EXPECT_EQ(answer->status(), one.status);
+            EXPECT_EQ(answer->body().find("no such page"), std::string::npos);
+            const Json body = Json::parse(answer->body(), nullptr, false);
+            for (const std::string& field : one.fields) EXPECT_TRUE(body.contains(field)) << field;
+        }
+}
+
+TEST_F(ControlPlane, RolloutsAreBegunOnceAndReadAtAnyProcess) {
+    const std::string order = R"({"service":"s","newVersion":"v2","withinS":60})";
+    EXPECT_EQ(begin_rollout_somewhere(0, order), 503) << "no configuration has been taken";
+    ASSERT_EQ(replace_somewhere(0, 0, configuration(7)), 200);
+    EXPECT_EQ(call(0, "GET /rollouts/s/read")->status(), 404) << "there has been none";
+    ASSERT_EQ(begin_rollout_somewhere(0, order), 200);
+    for (int i = 0; i < 3; ++i) {
+        EXPECT_EQ(begin_rollout(i, order), 200) << "the same again, at another process";
+        const auto read = call(i, "GET /rollouts/s/read");
+        EXPECT_EQ(Json::parse(read->body()), Json({{"state", "serving"}, {"newVersion", "v2"}}));
+    }
+    EXPECT_EQ(begin_rollout(1, R"({"service":"s","newVersion":"v3","withinS":60})"), 409);
+    EXPECT_EQ(begin_rollout(1, R"({"service":"nobody","newVersion":"v2","withinS":60})"), 404);
+    EXPECT_EQ(begin_rollout(1, R"({"service":"s","newVersion":"v2"})"), 400);
+    EXPECT_EQ(page(2, "/rollouts")["rollouts"].size(), 1U);
+}
+
+TEST_F(ControlPlane, RolloutsSurviveTheEndOfAllProcesses) {
+    ASSERT_EQ(replace_somewhere(0, 0, configuration(7)), 200);
+    ASSERT_EQ(begin_rollout_somewhere(0, R"({"service":"s","newVersion":"v2","withinS":60})"), 200);
+    for (int i = 0; i < 3; ++i) kill(i);
+    for (int i = 0; i < 3; ++i) boot(i, false);
+    int status = 0;
+    EXPECT_TRUE(runs_until([&] { return (status = call(1, "GET /rollouts/s/read")->status()) != 503; }));
+    EXPECT_EQ(status, 200);
+    EXPECT_EQ(begin_rollout_somewhere(2, R"({"service":"s","newVersion":"v2","withinS":60})"), 200);
+}
+
+// That no proxy tells of traffic does not mean that there is none: the old servers must not stop.
+TEST_F(ControlPlane, ARolloutOfWhichNoProxyTellsIsRevertedByItsDeadline) {
+    ASSERT_EQ(replace_somewhere(0, 0, configuration(7)), 200);
+    ASSERT_EQ(begin_rollout_somewhere(0, R"({"service":"s","newVersion":"v2","withinS":2})"), 200);
+    std::string state;
+    EXPECT_TRUE(runs_until([&] {
+        const auto read = call(1, "GET /rollouts/s/read");
+        if (read->status() == 200) state = Json::parse(read->body())["state"];
+        return state == "finished" || state == "reverted";
+    }));
+    EXPECT_EQ(state, "reverted");
+}
+
+TEST_F(ControlPlane, WithoutAMajorityRolloutsAreNeitherBegunNorRead) {
+    ASSERT_EQ(replace_somewhere(0, 0, configuration(7)), 200);
+    ASSERT_EQ(begin_rollout_somewhere(0, R"({"service":"s","newVersion":"v2","withinS":60})"), 200);
+    kill(1);
+    kill(2);
+    EXPECT_EQ(call(0, "GET /rollouts/s/read")->status(), 503);
+    EXPECT_EQ(begin_rollout(0, R"({"service":"s","newVersion":"v2","withinS":60})"), 503);
+}
+
 TEST_F(ControlPlane, PagesAreThere) {
     ASSERT_EQ(replace_somewhere(0, 0, configuration(1)), 200);
     EXPECT_EQ(page(0, "/status")["version"], 1);
--- a/tests/tier/data_plane/service_pools_test.cpp
+++ b/tests/tier/data_plane/service_pools_test.cpp
@@ -71,6 +71,145 @@
     EXPECT_EQ(calls.pool->settings().classes.at(calls.class_index).aim, 1500);
 }
 
+// ---- Versions
+
+wire::Rollout rollout_of_models(wire::RolloutPhase::type phase) {
+    wire::Rollout rollout;
+    rollout.number = 5;
+    rollout.service_name = "models";
+    rollout.new_version = "v2";
+    rollout.base_version = "v1";
+    rollout.within_ms = 14000;
+    rollout.phase = phase;
+    if (phase == wire::RolloutPhase::reverted) rollout.rejected_versions = {"v2"};
+    return rollout;
+}
+
+struct VersionsTest : ::testing::Test {
+    VersionsTest() : transport(time), engine(time, {}), pools(engine, transport, options()) {
+        const auto configuration = serving::parse_configuration(kConfiguration);
+        EXPECT_TRUE(configuration);
+        pools.configure(*configuration.value());
+        list();
+    }
+    static ServicePools::Options options() {
+        ServicePools::Options options;
+        options.zone = "a";
+        options.seed = 1;
+        options.rollouts.by_order = true;
+        return options;
+    }
+    void list(bool old_versions = true) {
+        wire::ServersList list;
+        for (int i = old_versions ? 0 : 6; i < 12; ++i) {
+            wire::ListedServer server;
+            server.id = "s" + std::to_string(i);
+            server.service_name = "models";
+            server.version = i < 6 ? "v1" : "v2";
+            server.address = "10.0.0." + std::to_string(i + 1) + ":80";
+            server.zone = "a";
+            server.slots = 8;
+            server.cold_left_ms = i < 6 ? 0 : 500;
+            list.servers.push_back(server);
+        }
+        pools.set_servers(list);
+    }
+    void record(wire::RolloutPhase::type phase) { pools.set_rollouts({rollout_of_models(phase)}); }
+    void permit() {
+        wire::RolloutReportReply reply;
+        reply.permitted = true;
+        pools.rollout_reply(5, reply);
+    }
+    // Of 10,000 programs, how many are sent to the new version.
+    int at_candidate() {
+        int count = 0;
+        for (std::uint64_t line = 0; line < 10000; ++line)
+            count += pools.choose_pool("models", placement::mixed(line, 7)) != "models";
+        return count;
+    }
+    std::size_t servers(const std::string& pool) {
+        return pools.place(pool, Effect::once, 6000).pool->ready();
+    }
+
+    test::TestTime time;
+    test::ScriptedTransport transport;
+    Engine engine;
+    ServicePools pools;
+};
+
+TEST_F(VersionsTest, BeforeAnOrderANewVersionTakesNothing) {
+    EXPECT_EQ(at_candidate(), 0);
+    EXPECT_EQ(servers("models"), 6U);
+}
+
+TEST_F(VersionsTest, TheTrialsShareIsChosenFirstAndOnlyUnderAPermit) {
+    record(wire::RolloutPhase::trial);
+    EXPECT_EQ(at_candidate(), 0) << "nobody has said that the duty is done";
+    permit();
+    EXPECT_NEAR(at_candidate(), 600, 80);
+    EXPECT_EQ(servers("models"), 6U);
+    EXPECT_EQ(servers("models@v2"), 2U) << "few servers are tried";
+    time.at += options().rollouts.permit_holds;
+    EXPECT_EQ(at_candidate(), 0) << "nothing has been heard since";
+}
+
+TEST_F(VersionsTest, AProgramKeepsToItsVersion) {
+    record(wire::RolloutPhase::trial);
+    permit();
+    for (std::uint64_t line = 0; line < 100; ++line)
+        EXPECT_EQ(pools.choose_pool("models", line), pools.choose_pool("models", line));
+}
+
+TEST_F(VersionsTest, AfterFinishedTheNewVersionIsTheServices) {
+    record(wire::RolloutPhase::trial);
+    record(wire::RolloutPhase::shifting);
+    EXPECT_EQ(servers("models@v2"), 6U);
+    record(wire::RolloutPhase::finished);
+    EXPECT_EQ(at_candidate(), 0);
+    EXPECT_EQ(servers("models"), 6U);
+    EXPECT_EQ(pools.place("models", Effect::once, 6000).pool->name(), "models@v2")
+        << "what is known of its servers stays";
+    EXPECT_EQ(pools.place("models@v2", Effect::once, 6000).pool,
+              pools.place("models", Effect::once, 6000).pool)
+        << "requests under way know the pool by its name then";
+}
+
+TEST_F(VersionsTest, AfterARestartARecordIsEnough) {
+    record(wire::RolloutPhase::finished);
+    EXPECT_EQ(servers("models"), 6U);
+    list(false);
+    EXPECT_EQ(servers("models"), 6U) << "those of the new version";
+}
+
+TEST_F(VersionsTest, ARevertedVersionTakesNothing) {
+    record(wire::RolloutPhase::trial);
+    permit();
+    record(wire::RolloutPhase::reverted);
+    EXPECT_EQ(at_candidate(), 0);
+    EXPECT_EQ(servers("models"), 6U);
+    list(false);
+    EXPECT_EQ(servers("models"), 0U) << "not even where nobody else is left";
+}
+
+TEST_F(VersionsTest, WhereTheOldServersAreGoneTheNewOnesServe) {
+    record(wire::RolloutPhase::trial);
+    list(false);
+    EXPECT_EQ(at_candidate(), 10000) << "it is cut off, and has not heard of the end";
+}
+
+TEST_F(VersionsTest, AServiceThatIsDroppedTakesItsCandidateWithIt) {
+    record(wire::RolloutPhase::trial);
+    const auto without = serving::parse_configuration(
+        R"({"version":2,"routes":[],"services":[{"name":"tools","healthPath":"/health"}],"limits":{}})");
+    ASSERT_TRUE(without);
+    pools.configure(*without.value());
+    EXPECT_EQ(pools.place("models@v2", Effect::once, 1000).pool, nullptr);
+    EXPECT_TRUE(pools.rollout_reports(1).empty());
+    const auto with = serving::parse_configuration(kConfiguration);
+    pools.configure(*with.value());
+    EXPECT_EQ(pools.rollout_reports(1).size(), 1U);
+}
+
 // What the proxies share, by pool, as the transport is told of it.
 struct SharedConnectionsTest : ::testing::Test {
     SharedConnectionsTest() : transport(time), engine(time, {}), pools(engine, transport, options()) {}
@@ -135,7 +274,7 @@
     ASSERT_EQ(transport.out.size(), 1U);
     const auto exchange = transport.out.begin()->first;
     EXPECT_EQ(transport.out.begin()->second.address, "10.0.0.4:80");
-    pools.sent("models", call->id, "s3", session("line"));
+    pools.sent("models", call->id, "s3", session("line"), "r");
     ASSERT_TRUE(transport.begin(exchange));
     transport.end(exchange, Outcome::completed);
     const std::vector<std::string> candidates = pools.candidates("models", session("line"));
@@ -155,7 +294,7 @@
         arrival.candidates = {server};
         place.pool->take(call, arrival);
         last_server = transport.out.rbegin()->second.attempt.member;
-        pools.sent("models", call->id, last_server, session(server.c_str()));
+        pools.sent("models", call->id, last_server, session(server.c_str()), "r");
         return call;
     }
     void pass(Millis span) {
@@ -247,8 +386,8 @@
 
 TEST_F(ServicePoolsTest, ReportsWhatIsOutAndAsksForModelServersAlone) {
     EXPECT_TRUE(pools.load_report(true).under_way.empty());
-    pools.sent("models", 1, "s1", session("x"));
-    pools.sent("models", 2, "s1", session("y"));
+    pools.sent("models", 1, "s1", session("x"), "r");
+    pools.sent("models", 2, "s1", session("y"), "r");
     const wire::LoadReport asking = pools.load_report(true), telling = pools.load_report(false);
     const auto key = static_cast<std::int32_t>(placement::name_hash("s1"));
     ASSERT_EQ(asking.under_way.size(), 1U);
@@ -290,7 +429,7 @@
 TEST_F(ServicePoolsTest, MechanismsStayOffOverAConfigurationAndWhatIsKnownStays) {
     const auto first = pools.candidates("models", session("x"));
     ASSERT_FALSE(first.empty());
-    pools.sent("models", 1, first.back(), session("x"));
+    pools.sent("models", 1, first.back(), session("x"), "r");
     pools.first_event(1);
     const auto keeping = pools.candidates("models", session("x"));
     ASSERT_FALSE(keeping.empty());
--- a/tests/tier/rpc/known_values_test.cpp
+++ b/tests/tier/rpc/known_values_test.cpp
@@ -67,7 +67,7 @@
 class Idl {
 public:
     Idl() {
-        for (const char* name : {"control", "overlay", "register", "storage"}) read(name);
+        for (const char* name : {"control", "overlay", "register", "rollout", "storage"}) read(name);
     }
 
     // Structures that hold an enumeration, themselves or within.
--- a/tests/tier/versions/messages_test.cpp
+++ b/tests/tier/versions/messages_test.cpp
@@ -14,6 +14,7 @@
 #include "foreign_build.hpp"
 #include "overlay_types.h"
 #include "register_types.h"
+#include "rollout_types.h"
 #include "rpc/codec.hpp"
 #include "storage_types.h"
 
@@ -322,6 +323,59 @@
     return reply;
 }
 
+wire::RolloutReport rollout_report() {
+    wire::RolloutCell cell;
+    cell.route = -5;
+    cell.group = 3;
+    cell.ended = 40;
+    cell.failed = 2;
+    cell.paces = {0, 3, 35};
+    cell.first_events = {38};
+    wire::RolloutReport report;
+    report.proxy = 71;
+    report.sequence = 9;
+    report.number = 12;
+    report.phase = wire::RolloutPhase::shifting;
+    report.elapsed_ms = 4000;
+    report.open_old = 6;
+    report.open_new = 2;
+    report.cells = {cell, cell};
+    return report;
+}
+
+wire::RolloutReportReply rollout_report_reply() {
+    wire::RolloutReportReply reply;
+    reply.permitted = true;
+    reply.elapsed_ms = 4100;
+    reply.open_new = 30;
+    return reply;
+}
+
+wire::RolloutExchange rollout_exchange() {
+    wire::RolloutExchange exchange;
+    exchange.node = "core-1";
+    exchange.holds_duty = true;
+    exchange.reports = {rollout_report()};
+    exchange.number = 12;
+    exchange.elapsed_ms = 4100;
+    return exchange;
+}
+
+wire::Rollout rollout() {
+    wire::Rollout rollout;
+    rollout.number = 12;
+    rollout.service_name = "chat";
+    rollout.new_version = "v2";
+    rollout.within_ms = 14000;
+    rollout.phase = wire::RolloutPhase::reverted;
+    rollout.elapsed_ms = 4000;
+    rollout.fencing = 8;
+    rollout.evidence = "7 of 9 failed";
+    rollout.base_version = "v1";
+    rollout.rejected_versions = {"v2"};
+    return rollout;
+}
+
 // ---- What is held of them
 
 // The message as it is read here, sent by the other build.
@@ -361,6 +415,10 @@
     act("acceptor_record", acceptor_record());
     act("turn_record", turn_record());
     act("ledger_entry", ledger_entry());
+    act("rollout_report", rollout_report());
+    act("rollout_report_reply", rollout_report_reply());
+    act("rollout_exchange", rollout_exchange());
+    act("rollout", rollout());
 }
 
 TEST(MessagesOfANewerBuild, AreReadAsFarAsTheyAreKnown) {
