--- a/idl/control.thrift
+++ b/idl/control.thrift
@@ -60,7 +60,7 @@
   6: i64 elapsed_ms = 0;                // since the order, as known when `phase` was recorded
   7: i64 fencing = 0;                   // of the lease under which `phase` was recorded; 0: none was needed
   8: string evidence;                   // what led to `phase`, for people
-  9: string base_version;               // that the service ran as the order came; empty: not known
+  9: i32 base_version = 0;              // version_id() of what the service ran as the order came; 0: not known
   10: list<string> rejected_versions;   // that earlier rollouts reverted, newest last, bounded
 }
 
@@ -88,7 +88,7 @@
   6: i32 slots = 0;
   7: i32 cold_left_ms = 0;
   // 8 and 9 are taken: earlier builds send them, empty.
-  10: string version;      // of its software; the same for as long as the server runs
+  10: i32 version = 0;     // version_id() of its software, the same for as long as the server runs; 0: not told
 }
 
 /** The servers list as one reader saw it. A list with a higher (term, sequence) replaces one with a lower. */
--- a/src/control_plane/operator_api.cpp
+++ b/src/control_plane/operator_api.cpp
@@ -217,8 +217,8 @@
     if (!order) return respond(fault(400, order.error().message));
     const std::string service = order.value().service;
     const auto attempt = std::make_shared<RolloutAttempt>(
-        std::move(order).value(),
-        options_.listed_versions ? options_.listed_versions(service) : std::vector<std::string>());
+        std::move(order).value(), options_.listed_versions ? options_.listed_versions(service)
+                                                           : std::vector<servers_list::VersionId>());
     register_.change([attempt](const wire::RegisterState& current) { return attempt->apply(current); },
                      kRegisterTimeout,
                      [attempt, respond = std::move(respond)](StateResult result) {
--- a/src/control_plane/operator_api.hpp
+++ b/src/control_plane/operator_api.hpp
@@ -11,6 +11,7 @@
 
 #include "consensus/register_service.hpp"
 #include "control_plane/http_server.hpp"
+#include "servers_list/version_id.hpp"
 
 namespace whinledge::control_plane {
 
@@ -23,7 +24,7 @@
         std::function<std::set<std::int64_t>()>
             storages_voting;  // identities of those that are there and vote
         // Versions of a service's servers on the platform's list; empty: not known.
-        std::function<std::vector<std::string>(const std::string& service)> listed_versions;
+        std::function<std::vector<servers_list::VersionId>(const std::string& service)> listed_versions;
         // Pages for whinledge-ctl, by path; JSON.
         std::function<std::string()> members, acceptors, leases, replicas, openings, overlay, list, status,
             rollouts;
--- a/src/control_plane/rollout_order.cpp
+++ b/src/control_plane/rollout_order.cpp
@@ -89,10 +89,11 @@
     }
 }
 
-std::vector<std::string> listed_versions(const wire::ServersList& list, std::string_view service) {
-    std::set<std::string> versions;
+std::vector<servers_list::VersionId> listed_versions(const wire::ServersList& list,
+                                                     std::string_view service) {
+    std::set<servers_list::VersionId> versions;
     for (const wire::ListedServer& server : list.servers)
-        if (server.service_name == service && !server.version.empty()) versions.insert(server.version);
+        if (server.service_name == service && server.version != 0) versions.insert(server.version);
     return {versions.begin(), versions.end()};
 }
 
--- a/src/control_plane/rollout_order.hpp
+++ b/src/control_plane/rollout_order.hpp
@@ -28,7 +28,7 @@
 public:
     enum class Outcome { undecided, begun, taken, no_configuration, unknown_service, conflict };
 
-    RolloutAttempt(rollout::Order order, std::vector<std::string> listed)
+    RolloutAttempt(rollout::Order order, std::vector<servers_list::VersionId> listed)
         : order_(std::move(order)), listed_(std::move(listed)) {}
 
     // The state with the order in it; none: it isn't to be changed.
@@ -40,7 +40,7 @@
 
 private:
     rollout::Order order_;
-    std::vector<std::string> listed_;
+    std::vector<servers_list::VersionId> listed_;
     Outcome outcome_ = Outcome::undecided;
     rollout::OrderDecision decision_ = rollout::OrderDecision::begin;
 };
@@ -51,6 +51,6 @@
 std::string state_name(rollout::Phase phase);
 
 // Versions of a service's servers, each once.
-std::vector<std::string> listed_versions(const wire::ServersList& list, std::string_view service);
+std::vector<servers_list::VersionId> listed_versions(const wire::ServersList& list, std::string_view service);
 
 }  // namespace whinledge::control_plane
--- a/src/feed/servers_list_client.cpp
+++ b/src/feed/servers_list_client.cpp
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include "io/address.hpp"
+#include "servers_list/version_id.hpp"
 
 namespace whinledge::feed {
 
@@ -49,7 +50,7 @@
     server.address = text_of(entry, "address");
     if (server.id.empty() || server.service_name.empty() || server.address.empty()) return std::nullopt;
     server.zone = text_of(entry, "zone");
-    server.version = text_of(entry, "version");
+    server.version = servers_list::version_id(text_of(entry, "version"));
     server.draining = text_of(entry, "state") == "draining";
     server.slots = number_of(entry, "slots");
     server.cold_left_ms = number_of(entry, "coldLeftMs");
--- a/src/rollout/record.cpp
+++ b/src/rollout/record.cpp
@@ -4,6 +4,9 @@
 
 namespace whinledge::rollout {
 
+using servers_list::version_id;
+using servers_list::VersionId;
+
 namespace {
 
 constexpr std::size_t kMostRejected = 16;
@@ -13,12 +16,12 @@
     return std::find(names.begin(), names.end(), name) != names.end();
 }
 
-// The one version that is listed beside the new one.
-std::string only_other(const std::vector<std::string>& listed, const std::string& new_version) {
-    std::string other;
-    for (const std::string& version : listed) {
-        if (version == new_version || version == other) continue;
-        if (!other.empty()) return {};
+// The one version that is listed beside the new one; 0: there is none, or there are several.
+VersionId only_other(const std::vector<VersionId>& listed, const std::string& new_version) {
+    VersionId other = 0;
+    for (const VersionId version : listed) {
+        if (version == version_id(new_version) || version == other) continue;
+        if (other != 0) return 0;
         other = version;
     }
     return other;
@@ -42,23 +45,23 @@
 }
 
 OrderDecision decide_order(const wire::RegisterState& current, const Order& order,
-                           const std::vector<std::string>& listed) {
+                           const std::vector<VersionId>& listed) {
     if (const wire::Rollout* const newest = find_rollout(current, order.service)) {
         if (newest->new_version == order.new_version) return OrderDecision::taken;
         if (is_open(*newest)) return OrderDecision::other_under_way;
         if (contains(newest->rejected_versions, order.new_version)) return OrderDecision::rejected_before;
-        if (newest->base_version == order.new_version && newest->phase == Phase::reverted)
+        if (newest->base_version == version_id(order.new_version) && newest->phase == Phase::reverted)
             return OrderDecision::runs_already;
         return OrderDecision::begin;
     }
-    const bool runs = !listed.empty() && std::all_of(listed.begin(), listed.end(), [&](const auto& version) {
-        return version == order.new_version;
+    const bool runs = !listed.empty() && std::all_of(listed.begin(), listed.end(), [&](VersionId version) {
+        return version == version_id(order.new_version);
     });
     return runs ? OrderDecision::runs_already : OrderDecision::begin;
 }
 
 wire::RegisterState begun(const wire::RegisterState& current, const Order& order,
-                          const std::vector<std::string>& listed) {
+                          const std::vector<VersionId>& listed) {
     wire::RegisterState next = current;
     wire::Rollout rollout;
     rollout.number = current.sequence + 1;
@@ -71,7 +74,8 @@
                      [&](const wire::Rollout& one) { return one.service_name == order.service; });
     if (former != next.rollouts.end()) {
         rollout.rejected_versions = former->rejected_versions;
-        rollout.base_version = former->phase == Phase::finished ? former->new_version : former->base_version;
+        rollout.base_version =
+            former->phase == Phase::finished ? version_id(former->new_version) : former->base_version;
         next.rollouts.erase(former);
     }
     next.rollouts.push_back(std::move(rollout));
--- a/src/rollout/record.hpp
+++ b/src/rollout/record.hpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "control_types.h"  // generated from idl/control.thrift
+#include "servers_list/version_id.hpp"
 
 namespace whinledge::rollout {
 
@@ -35,10 +36,10 @@
 };
 // `listed`: versions of the service's servers on the platform's list; empty: not known.
 OrderDecision decide_order(const wire::RegisterState& current, const Order& order,
-                           const std::vector<std::string>& listed);
+                           const std::vector<servers_list::VersionId>& listed);
 // The state in which the order has been taken.
 wire::RegisterState begun(const wire::RegisterState& current, const Order& order,
-                          const std::vector<std::string>& listed);
+                          const std::vector<servers_list::VersionId>& listed);
 
 // One step of a rollout.
 struct Step {
--- a/src/rollout/version_plan.cpp
+++ b/src/rollout/version_plan.cpp
@@ -9,6 +9,9 @@
 
 namespace whinledge::rollout {
 
+using servers_list::version_id;
+using servers_list::VersionId;
+
 namespace {
 
 bool takes_new(const wire::ListedServer* server) { return !server->draining; }
@@ -33,21 +36,22 @@
     for (const wire::ListedServer& server : listed) established_.insert(server.version);
 }
 
-bool VersionPlan::is_rejected(const std::string& version) const {
+bool VersionPlan::is_rejected(VersionId version) const {
     const auto& rejected = rollout_.rejected_versions;
-    return std::find(rejected.begin(), rejected.end(), version) != rejected.end();
+    return std::any_of(rejected.begin(), rejected.end(),
+                       [version](const std::string& name) { return version_id(name) == version; });
 }
 
-Arm VersionPlan::arm_of(const std::string& version) const {
-    if (version.empty()) return Arm::serving;
+Arm VersionPlan::arm_of(VersionId version) const {
+    if (version == 0) return Arm::serving;
     if (!known_) return !by_order_ || established_.contains(version) ? Arm::serving : Arm::none;
     if (is_rejected(version)) return Arm::none;
-    if (version == rollout_.new_version) {
+    if (version == version_id(rollout_.new_version)) {
         if (is_open(rollout_)) return Arm::candidate;
         return rollout_.phase == Phase::finished ? Arm::serving : Arm::none;
     }
     if (rollout_.phase == Phase::finished) return Arm::none;
-    const bool is_base = rollout_.base_version.empty() || rollout_.base_version == version;
+    const bool is_base = rollout_.base_version == 0 || rollout_.base_version == version;
     return is_base || !by_order_ ? Arm::serving : Arm::none;
 }
 
--- a/src/rollout/version_plan.hpp
+++ b/src/rollout/version_plan.hpp
@@ -5,7 +5,6 @@
 #include <cstdint>
 #include <map>
 #include <set>
-#include <string>
 #include <string_view>
 #include <vector>
 
@@ -40,13 +39,13 @@
 
 private:
     void establish(const std::vector<wire::ListedServer>& listed);
-    Arm arm_of(const std::string& version) const;
-    bool is_rejected(const std::string& version) const;
+    Arm arm_of(servers_list::VersionId version) const;
+    bool is_rejected(servers_list::VersionId version) const;
 
     bool by_order_;
     bool known_ = false;
     wire::Rollout rollout_;
-    std::set<std::string> established_;  // that took requests before any rollout
+    std::set<servers_list::VersionId> established_;  // that took requests before any rollout
 };
 
 // Which of the candidate's servers are on trial: `width` of them, from the one of rank `first` on. Ranks are
--- a/tools/lab/proxy.cpp
+++ b/tools/lab/proxy.cpp
@@ -303,7 +303,7 @@
     const ClientRequest& request = exchange.request;
     exchange.sent = true;
     exchange.member = out.member;
-    pools_->sent(exchange.service(), exchange.id, out.member, exchange.told);
+    pools_->sent(exchange.service(), exchange.id, out.member, exchange.told, {});
     ServerRequest to;
     to.wanted = out.member;
     to.work = request.work;
