--- a/src/data_plane/service_rollout.cpp
+++ b/src/data_plane/service_rollout.cpp
@@ -6,12 +6,6 @@
 
 namespace whinledge::data_plane {
 
-namespace {
-
-constexpr std::int64_t kMostElapsedMs = std::int64_t{1} << 40;
-
-}  // namespace
-
 bool ServiceRollout::set_record(const wire::Rollout* record, Millis now) {
     const wire::Rollout* const before = plan_.rollout();
     if (!record && !before) return false;
@@ -28,7 +22,8 @@
     const bool shifts = record && record->phase == rollout::Phase::shifting;
     if (shifts && (another || before->phase != rollout::Phase::shifting)) shifting_since_ = now;
     plan_.set_rollout(record);
-    if (record) since_ = std::min(since_, now - static_cast<Millis>(record->elapsed_ms));
+    if (record)
+        since_ = std::min(since_, now - static_cast<Millis>(rollout::bounded_elapsed(record->elapsed_ms)));
     return true;
 }
 
@@ -120,8 +115,7 @@
 void ServiceRollout::hear(const wire::RolloutReportReply& reply, Millis now) {
     if (reply.permitted) permitted_until_ = now + rules_.permit_holds;
     under_way_ = static_cast<std::size_t>(std::max(0, reply.open_new));
-    const std::int64_t elapsed = std::clamp<std::int64_t>(reply.elapsed_ms, 0, kMostElapsedMs);
-    since_ = std::min(since_, now - static_cast<Millis>(elapsed));
+    since_ = std::min(since_, now - static_cast<Millis>(rollout::bounded_elapsed(reply.elapsed_ms)));
 }
 
 }  // namespace whinledge::data_plane
--- a/src/rollout/follower.cpp
+++ b/src/rollout/follower.cpp
@@ -13,12 +13,8 @@
 constexpr double kProxyHeard = 2000;   // the same of a proxy
 // After the shift was recorded: proxies that have not been heard may send to old servers for so long.
 constexpr double kToldWithin = kShiftMs + 500;
-constexpr double kSlack = 15;  // requests that a trial may get beyond its part
-constexpr std::int64_t kMostElapsedMs = std::int64_t{1} << 40;
-
-std::int64_t bounded(std::int64_t elapsed_ms) {
-    return std::clamp<std::int64_t>(elapsed_ms, 0, kMostElapsedMs);
-}
+constexpr double kSlack = 15;                    // requests that a trial may get beyond its part
+constexpr std::int64_t kMostUnderWay = 1 << 20;  // that is told to proxies
 
 }  // namespace
 
@@ -46,7 +42,7 @@
 void Follower::hear_elapsed(std::int64_t number, std::int64_t elapsed_ms, double now) {
     const auto at = followed_.find(number);
     if (at == followed_.end()) return;
-    at->second.since = std::min(at->second.since, now - static_cast<double>(bounded(elapsed_ms)));
+    at->second.since = std::min(at->second.since, now - static_cast<double>(bounded_elapsed(elapsed_ms)));
 }
 
 std::int64_t Follower::elapsed_ms(const Followed& followed, double now) const {
@@ -66,10 +62,12 @@
     const auto at = followed_.find(report.number);
     if (at == followed_.end()) return reply;
     reply.elapsed_ms = elapsed_ms(at->second, now);
+    std::int64_t open_new = 0;
     for (const auto& [proxy, row] : at->second.book.rows())
-        if (now - row.heard_at < kProxyHeard) reply.open_new += std::max(0, row.report.open_new);
+        if (now - row.heard_at < kProxyHeard) open_new += std::max(0, row.report.open_new);
+    reply.open_new = static_cast<std::int32_t>(std::min(open_new, kMostUnderWay));
     const bool within_budget =
-        at->second.record.phase != Phase::trial || within_budget_of(at->second, reply.open_new);
+        at->second.record.phase != Phase::trial || within_budget_of(at->second, open_new);
     reply.permitted = now - holder_heard_at_ < kHolderHeard && within_budget;
     return reply;
 }
--- a/src/rollout/trial_schedule.hpp
+++ b/src/rollout/trial_schedule.hpp
@@ -1,6 +1,7 @@
 // When a rollout's steps are due, and how the trial is spread over servers. Pure.
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 
@@ -13,6 +14,12 @@
 inline constexpr double kMostPart = 0.9;
 inline constexpr double kDefaultBadShare = 0.1;
 
+// The longest time since an order that is believed of a message.
+inline constexpr std::int64_t kMostElapsedMs = std::int64_t{1} << 40;
+inline std::int64_t bounded_elapsed(std::int64_t elapsed_ms) {
+    return std::clamp<std::int64_t>(elapsed_ms, 0, kMostElapsedMs);
+}
+
 // Milliseconds since the order.
 struct StepTimes {
     std::int64_t shift_at = 0;   // the trial has lasted for as long as it may
