--- a/review/stage2.py
+++ b/review/stage2.py
@@ -41,17 +41,20 @@
 
 
 def free_subnet():
-    """A second octet whose addresses nobody uses at these ports."""
+    """A second octet whose addresses nobody uses at these ports, and a socket that keeps other cases off it."""
     for octet in random.sample(range(64, 250), 40):
+        claim = socket.socket()
         try:
+            claim.bind((f"127.{octet}.255.254", SPARE))
+            claim.listen()
             for last in (10, 70, 130):
                 for port in (CONTROL, PUBLIC, READY, SPARE):
                     with socket.socket() as probe:
                         probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
                         probe.bind((f"127.{octet}.1.{last}", port))
-            return octet
+            return octet, claim
         except OSError:
-            continue
+            claim.close()
     raise CantRun("no free loopback addresses")
 
 
@@ -270,7 +273,7 @@
     def __init__(self, record_path, zones, machines, survive, models=3, tools=2):
         self.record = Record(record_path)
         self.regions, self.zones, self.survive = zones, list(zones), survive
-        self.octet = free_subnet()
+        self.octet, self.claim = free_subnet()
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
         deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())["roles"]
         self.run_lines = {role["on"]: [str(ROOT / role["run"].split()[0])] + role["run"].split()[1:]
