--- a/review/6/case.py
+++ b/review/6/case.py
@@ -2,6 +2,7 @@
 are continued elsewhere."""
 
 import asyncio
+import os
 import pathlib
 import sys
 import time
@@ -57,4 +58,4 @@
     return broken
 
 
-stage2.play(__file__, make, day)
+stage2.play(__file__, make, day, trouble=os.environ.get("TROUBLE", "1") != "0")
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,6 +1,7 @@
 """One zone is lost with its disks, as `survive.zones=1` says may be; the acknowledged configuration is read back."""
 
 import asyncio
+import os
 import pathlib
 import sys
 import time
@@ -52,4 +53,4 @@
     return [f"CONFIG: version {v} is read back, 7 was acknowledged" for v in set(seen) if v != 7]
 
 
-stage2.play(__file__, make, day)
+stage2.play(__file__, make, day, trouble=os.environ.get("TROUBLE", "1") != "0")
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -2,6 +2,7 @@
 answered whole are continued meanwhile and afterwards."""
 
 import asyncio
+import os
 import pathlib
 import signal
 import sys
@@ -55,4 +56,4 @@
     return list(broken.values())
 
 
-stage2.play(__file__, make, day)
+stage2.play(__file__, make, day, trouble=os.environ.get("TROUBLE", "1") != "0")
--- a/review/stage2.py
+++ b/review/stage2.py
@@ -412,10 +412,9 @@
             shutil.rmtree(self.folder, ignore_errors=True)
 
 
-def play(case, make, day):
+def play(case, make, day, trouble):
     """Runs `day(stage, trouble)`, which gives what was broken (texts). Exits 1, 0 or 2."""
     folder = pathlib.Path(case).resolve().parent
-    trouble = os.environ.get("TROUBLE", "1") != "0"
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     stage = None
     try:
