--- a/cmake/tier.cmake
+++ b/cmake/tier.cmake
@@ -42,7 +42,7 @@
 target_include_directories(whinledge_docopt SYSTEM INTERFACE ${DOCOPT_INCLUDE})
 target_link_libraries(whinledge_docopt INTERFACE ${DOCOPT_LIBRARY})
 
-foreach(folder IN ITEMS node rpc ctl serving consensus servers_list overlay feed storage_map rollout control_plane storage_plane openings placement data_plane programs)
+foreach(folder IN ITEMS failure_domain node rpc ctl serving consensus servers_list overlay feed storage_map rollout control_plane storage_plane openings placement data_plane programs)
   add_subdirectory(src/${folder})
 endforeach()
 # Stand-ins for all who call the tier, and the rig that plays a day of real processes.
--- a/idl/control.thrift
+++ b/idl/control.thrift
@@ -16,6 +16,7 @@
   2: string node;
   3: string zone;
   4: string address;   // IP:PORT of its RPC server
+  5: optional string region;  // absent: no loss of regions is to be borne
 }
 
 /** A configuration that was taken: what a repeated order of the operator is compared with. */
@@ -34,12 +35,21 @@
   3: string zone;
   4: string address;   // IP:PORT of its RPC server
   5: i32 state = 0;     // StorageState
+  6: optional string region;  // absent: no loss of regions is to be borne
+}
+
+/** What has to be borne at once: so many machines, or zones, or regions. */
+struct LossTolerance {
+  1: i32 machines = 0;
+  2: i32 zones = 0;
+  3: i32 regions = 0;
 }
 
 struct StorageMap {
   1: i64 epoch = 0;                     // rises with each change
   2: list<StorageMember> members;
   3: i32 ledger_group = 0;              // voters that keep a program's ledger; 0, or no more voters: all of them
+  4: optional LossTolerance survive;    // by which ledgers are decided; absent: machines alone may be lost
 }
 
 /** How far a rollout is; it only moves forward. */
@@ -119,6 +129,7 @@
   4: i32 role = 0;        // NodeRole
   5: i64 identity = 0;    // of its disk; of the process where it has none
   6: i64 started_ms = 0;  // time of day at its start
+  7: optional string region;  // absent: no loss of regions is to be borne
 }
 
 /** What a storage process holds, and how far it is with its repair. Bytes are those of turns' inputs and outputs. */
--- a/src/consensus/register_service.cpp
+++ b/src/consensus/register_service.cpp
@@ -2,6 +2,7 @@
 
 #include <glog/logging.h>
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <random>
@@ -25,8 +26,7 @@
     core.self.identity = store.identity();
     core.founder = store.founder();
     core.seeds = options.seeds;
-    core.reconfiguration.machine_losses =
-        options.machine_losses < 1 ? 1 : static_cast<std::size_t>(options.machine_losses);
+    core.reconfiguration.machine_losses = std::max<std::size_t>(options.survive.most(), 1);
     return core;
 }
 
--- a/src/consensus/register_service.hpp
+++ b/src/consensus/register_service.hpp
@@ -16,6 +16,7 @@
 
 #include "consensus/acceptor_log.hpp"
 #include "consensus/register_types.hpp"
+#include "failure_domain/loss_tolerance.hpp"
 #include "rpc/client.hpp"
 #include "rpc/server.hpp"
 
@@ -33,7 +34,7 @@
         std::string data_folder;
         bool first_boot = false;
         std::vector<std::string> seeds;  // RPC addresses; at the first boot the founding acceptors
-        int machine_losses = 1;
+        failure_domain::LossTolerance survive{};
         WrapLog wrap_log;
     };
 
--- a/src/consensus/replica.cpp
+++ b/src/consensus/replica.cpp
@@ -110,6 +110,7 @@
     acceptor.node = node.node;
     acceptor.zone = node.zone;
     acceptor.address = node.address;
+    if (node.__isset.region) acceptor.__set_region(node.region);
     return acceptor;
 }
 
--- a/src/control_plane/control_process.cpp
+++ b/src/control_plane/control_process.cpp
@@ -56,6 +56,7 @@
     wire::NodeInfo info;
     info.node = settings.node;
     info.zone = settings.zone;
+    if (const auto region = settings.told_region()) info.__set_region(*region);
     info.address = settings.rpc_address();
     info.role = wire::NodeRole::control;
     info.started_ms = unix_ms();
@@ -70,15 +71,11 @@
     options.data_folder = settings.data_folder;
     options.first_boot = settings.first_boot;
     options.seeds = settings.seed_rpc_addresses();
-    options.machine_losses = settings.tolerated_losses();
+    options.survive = settings.survive();
     options.wrap_log = wrap_log;
     return options;
 }
 
-std::size_t copies(const node::Settings& settings) {
-    return static_cast<std::size_t>(settings.tolerated_losses()) + 1;
-}
-
 const char* storage_state_name(std::int32_t state) {
     switch (state) {
         case wire::StorageState::joining:
@@ -169,8 +166,8 @@
       overlay_(io, client_, server_, overlay::OverlayService::Options{self_, seeds_}),
       reconciler_([&] {
           StorageMapReconciler::Options options;
-          options.copies = copies(settings);
-          options.ledger_group = storage_map::ledger_group_size(settings.tolerated_losses());
+          options.survive = settings.survive();
+          options.ledger_group = storage_map::ledger_group_size(settings.survive().most());
           return options;
       }()),
       openings_(io, client_, server_,
@@ -183,7 +180,7 @@
       api_(register_,
            [&] {
                OperatorApi::Options options = api_options();
-               options.machine_losses = copies(settings) - 1;
+               options.survive = settings.survive();
                return options;
            }()),
       timer_(io) {
--- a/src/control_plane/operator_api.cpp
+++ b/src/control_plane/operator_api.cpp
@@ -190,7 +190,7 @@
 void OperatorApi::begin_retirement(const std::string& node, Respond respond) {
     const auto attempt = std::make_shared<Retirement>();
     attempt->node = node;
-    attempt->needs = {options_.machine_losses, options_.storages_voting()};
+    attempt->needs = {options_.survive, options_.storages_voting()};
     register_.change(
         [attempt](const wire::RegisterState& current) { return attempt->apply(current); }, kRegisterTimeout,
         [attempt, heard = options_.storage_heard(node), respond = std::move(respond)](StateResult result) {
--- a/src/control_plane/operator_api.hpp
+++ b/src/control_plane/operator_api.hpp
@@ -11,6 +11,7 @@
 
 #include "consensus/register_service.hpp"
 #include "control_plane/http_server.hpp"
+#include "failure_domain/loss_tolerance.hpp"
 #include "servers_list/version_id.hpp"
 
 namespace whinledge::control_plane {
@@ -18,7 +19,7 @@
 class OperatorApi {
 public:
     struct Options {
-        std::size_t machine_losses = 1;  // that the storage machines have to bear at once
+        failure_domain::LossTolerance survive{};  // that the storage machines have to bear at once
         // Whether a storage machine of this name watches, though it may not be in the map yet.
         std::function<bool(const std::string& node)> storage_heard;
         std::function<std::set<std::int64_t>()>
--- a/src/control_plane/retirement.cpp
+++ b/src/control_plane/retirement.cpp
@@ -1,13 +1,18 @@
 #include "control_plane/retirement.hpp"
 
 #include <algorithm>
-#include <map>
 #include <string>
 #include <vector>
 
+#include "failure_domain/spread.hpp"
+#include "storage_map/ledger_quorum.hpp"
+
 namespace whinledge::control_plane {
 namespace {
 
+using failure_domain::LossTolerance;
+using failure_domain::Spread;
+
 const wire::StorageMember* find_member(const wire::RegisterState& state, std::string_view node) {
     for (const wire::StorageMember& member : state.storage.members)
         if (member.node == node) return &member;
@@ -28,29 +33,35 @@
     return members;
 }
 
-// Zones that are left whichever machines are lost, so many at once.
-std::size_t zones_left(const Members& members, std::size_t losses) {
-    std::map<std::string, std::size_t> by_zone;
-    for (const wire::StorageMember* member : members) ++by_zone[member->zone];
-    std::vector<std::size_t> sizes;
-    for (const auto& [zone, size] : by_zone) sizes.push_back(size);
-    std::sort(sizes.begin(), sizes.end());
-    std::size_t left = sizes.size();
-    for (const std::size_t size : sizes) {
-        if (losses < size) break;
-        losses -= size;
-        --left;
-    }
-    return left;
+Spread spread_of(const Members& members) {
+    Spread spread;
+    for (const wire::StorageMember* member : members) spread.add(failure_domain::location_of(*member));
+    return spread;
+}
+
+// As many zones and regions as a turn's copies want are there: `remaining` of those that `all` have.
+bool can_spread(std::size_t remaining, std::size_t all, std::size_t wanted) {
+    return remaining >= std::min(wanted, all);
+}
+
+bool voters_bear(const Members& members, const LossTolerance& survive) {
+    if (!survive.names_domains()) return members.size() >= 2 * survive.machine_losses() + 1;
+    std::vector<storage_map::LedgerVoter> voters;
+    for (const wire::StorageMember* member : members)
+        voters.push_back({member->identity, failure_domain::location_of(*member)});
+    return storage_map::LedgerQuorum(voters, survive).bears_losses();
 }
 
-// After a loss a majority of the voters is still there, and so are as many zones as a turn has copies. Where
-// all machines of the map lie in too few zones, no more can be asked for.
-bool bear_losses(const Members& remaining, const Members& all, std::size_t losses) {
-    const std::size_t copies = losses + 1;
-    if (remaining.size() < 2 * losses + 1) return false;
-    for (const std::size_t lost : {std::size_t{0}, losses})
-        if (zones_left(remaining, lost) < std::min(copies, zones_left(all, lost))) return false;
+// After a loss voters that decide are still there, and so are as many zones and regions as a turn has
+// copies in. Where all machines of the map lie in too few of them, no more can be asked for.
+bool bear_losses(const Members& remaining_members, const Members& all_members, const LossTolerance& survive) {
+    const Spread remaining = spread_of(remaining_members), all = spread_of(all_members);
+    if (!voters_bear(remaining_members, survive)) return false;
+    const std::size_t regions = survive.region_losses() + 1;
+    for (const LossTolerance& loss : {LossTolerance{0, 0, 0}, survive}) {
+        if (!can_spread(remaining.zones_left(loss), all.zones_left(loss), survive.copies())) return false;
+        if (!can_spread(remaining.regions_left(loss), all.regions_left(loss), regions)) return false;
+    }
     return true;
 }
 
@@ -71,8 +82,8 @@
     });
     // One that joins may be the successor of another, of whose loss nobody knows yet.
     const bool joins = member->state == wire::StorageState::joining;
-    if (!joins && bear_losses(voting, all, needs.machine_losses)) return RetirementDecision::begin;
-    const bool later = bear_losses(others, all, needs.machine_losses);
+    if (!joins && bear_losses(voting, all, needs.survive)) return RetirementDecision::begin;
+    const bool later = bear_losses(others, all, needs.survive);
     return later ? RetirementDecision::not_yet : RetirementDecision::too_few;
 }
 
--- a/src/control_plane/retirement.hpp
+++ b/src/control_plane/retirement.hpp
@@ -6,6 +6,7 @@
 #include <string_view>
 
 #include "control_types.h"  // generated from idl/control.thrift
+#include "failure_domain/loss_tolerance.hpp"
 
 namespace whinledge::control_plane {
 
@@ -19,8 +20,8 @@
 };
 
 struct RetirementNeeds {
-    std::size_t machine_losses = 1;  // that those who remain have to bear
-    std::set<std::int64_t> voting;   // identities of the storage processes that are there and vote
+    failure_domain::LossTolerance survive{};  // that those who remain have to bear
+    std::set<std::int64_t> voting;            // identities of the storage processes that are there and vote
 };
 RetirementDecision decide_retirement(const wire::RegisterState& current, std::string_view node,
                                      const RetirementNeeds& needs);
--- a/src/control_plane/storage_map_reconciler.cpp
+++ b/src/control_plane/storage_map_reconciler.cpp
@@ -1,6 +1,7 @@
 #include "control_plane/storage_map_reconciler.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <set>
 #include <string>
 #include <utility>
@@ -11,6 +12,7 @@
 constexpr std::size_t kMostEarlierVoters = 64;  // sets of them; the oldest and the newest are kept
 constexpr std::size_t kMostRemembered = 500;    // identities and nodes that are members no more
 
+using storage_map::LedgerQuorum;
 using wire::StorageMember;
 using wire::StorageState;
 
@@ -33,6 +35,7 @@
     member.zone = info.zone;
     member.address = info.address;
     member.state = state;
+    if (info.__isset.region) member.__set_region(info.region);
     return member;
 }
 
@@ -112,10 +115,54 @@
         voters_sequence_ = state.sequence;
         complete_.clear();
     }
-    if (map_epoch_ != 0 && voters.voters() != voters_.voters()) earlier_voters_.push_back(voters_.voters());
+    if (map_epoch_ != 0 && voters.voters() != voters_.voters())
+        earlier_voters_.push_back(voters_.quorum_of_voters());
     if (earlier_voters_.size() > kMostEarlierVoters) earlier_voters_.erase(earlier_voters_.begin() + 1);
     voters_ = std::move(voters);
     map_epoch_ = state.storage.epoch;
+    note_locations(state);
+}
+
+// Of voters that have left, for as long as something may depend on them.
+void StorageMapReconciler::note_locations(const wire::RegisterState& state) {
+    std::erase_if(locations_, [&](const auto& known) {
+        return std::none_of(earlier_voters_.begin(), earlier_voters_.end(), [&](const LedgerQuorum& quorum) {
+            return quorum.voters().count(known.first) > 0;
+        });
+    });
+    for (const StorageMember& member : state.storage.members)
+        locations_[member.identity] = failure_domain::location_of(member);
+}
+
+failure_domain::Spread StorageMapReconciler::spread_of(const std::set<std::int64_t>& identities) const {
+    failure_domain::Spread spread;
+    for (const std::int64_t identity : identities) {
+        const auto known = locations_.find(identity);
+        spread.add(known == locations_.end() ? failure_domain::Location() : known->second);
+    }
+    return spread;
+}
+
+bool StorageMapReconciler::bear_losses(const std::set<std::int64_t>& voters) const {
+    if (!options_.survive.names_domains()) return voters.size() >= 2 * options_.survive.machine_losses() + 1;
+    std::vector<storage_map::LedgerVoter> located;
+    for (const std::int64_t identity : voters) {
+        const auto known = locations_.find(identity);
+        located.push_back({identity, known == locations_.end() ? failure_domain::Location() : known->second});
+    }
+    return LedgerQuorum(located, options_.survive).bears_losses();
+}
+
+// One of them leaves, or another that takes its place in the count of machines.
+bool StorageMapReconciler::bear_losses_without(std::set<std::int64_t> voters, std::int64_t leaving) const {
+    if (!options_.survive.names_domains()) return voters.size() > 2 * options_.survive.machine_losses() + 1;
+    voters.erase(leaving);
+    return bear_losses(voters);
+}
+
+// Copies at some of them outlast a loss.
+bool StorageMapReconciler::can_hold_copies(const failure_domain::Spread& members) const {
+    return members.machines() >= options_.survive.copies() && members.outlasts(options_.survive);
 }
 
 void StorageMapReconciler::note_departures(const wire::RegisterState& state,
@@ -153,9 +200,12 @@
         first = std::min(first, storage.first);
         newest = std::max(newest, storage.first);
     }
-    if (there.size() < options_.copies) return false;
-    if (draft.now - newest < options_.founding_quiet && draft.now - first < options_.founding_longest)
-        return false;
+    if (there.size() < options_.survive.copies()) return false;
+    failure_domain::Spread spread;
+    for (const Heard* storage : there) spread.add(failure_domain::location_of(storage->info));
+    const bool more_may_come =
+        draft.now - newest < options_.founding_quiet || !spread.outlasts(options_.survive);
+    if (more_may_come && draft.now - first < options_.founding_longest) return false;
     for (const Heard* storage : there) draft.add(storage->info, StorageState::member);
     return true;
 }
@@ -184,17 +234,16 @@
     std::set<std::int64_t> unaware = voters_.voters();
     for (const Heard& storage : storages)
         if (storage.sequence >= voters_sequence_) unaware.erase(storage.info.identity);
-    const std::size_t voters = voters_.voters().size();
-    if (voters - unaware.size() <= voters / 2) return false;
-    const std::size_t minority =
-        voters_.group_size() - storage_map::reservation_majority(voters_.group_size());
-    return !voters_.grouped() || voters_.most_in_one_group(unaware) < minority;
+    std::set<std::int64_t> aware;
+    std::set_difference(voters_.voters().begin(), voters_.voters().end(), unaware.begin(), unaware.end(),
+                        std::inserter(aware, aware.end()));
+    return voters_.quorum_of_voters().is_met_by(aware) && voters_.are_minority_of_each_group(unaware);
 }
 
 // Which voters are there, and who might take the place of one that is not.
 struct StorageMapReconciler::Attendance {
     std::set<std::int64_t> there;                   // identities of voters
-    std::size_t staying = 0;                        // of those that are there: filled, and not retiring
+    std::set<std::int64_t> staying;                 // of those that are there: filled, and not retiring
     bool some_unfilled = false;                     // of those that are there
     const StorageMember* longest_silent = nullptr;  // of the voters that are not there
     std::vector<const StorageMember*> joining;      // that are there
@@ -202,22 +251,35 @@
 
 namespace {
 
-// Whichever majority of the voters decided something, one of it is there.
-bool majorities_keep_one(const std::set<std::int64_t>& voters, const std::set<std::int64_t>& there) {
-    const auto away = static_cast<std::size_t>(std::count_if(
-        voters.begin(), voters.end(), [&](std::int64_t voter) { return there.count(voter) == 0; }));
-    return away < storage_map::reservation_majority(voters.size());
+// Whichever voters decided something, one of them is there.
+bool quorums_keep_one(const LedgerQuorum& quorum, const std::set<std::int64_t>& there) {
+    std::set<std::int64_t> away;
+    std::set_difference(quorum.voters().begin(), quorum.voters().end(), there.begin(), there.end(),
+                        std::inserter(away, away.end()));
+    return !quorum.is_met_by(away);
 }
 
 }  // namespace
 
 // In an epoch of its own.
 void StorageMapReconciler::place_ledgers(Draft& draft) const {
-    if (draft.state.storage.ledger_group == options_.ledger_group) return;
-    draft.state.storage.ledger_group = options_.ledger_group;
+    wire::StorageMap wanted = draft.state.storage;
+    place_ledgers_by_losses(wanted);
+    if (draft.state.storage == wanted) return;
+    draft.state.storage = std::move(wanted);
     draft.changed = true;
 }
 
+void StorageMapReconciler::place_ledgers_by_losses(wire::StorageMap& map) const {
+    map.ledger_group = options_.ledger_group;
+    map.__isset.survive = options_.survive.names_domains();
+    map.survive = wire::LossTolerance();
+    if (!map.__isset.survive) return;
+    map.survive.machines = options_.survive.machines;
+    map.survive.zones = options_.survive.zones;
+    map.survive.regions = options_.survive.regions;
+}
+
 // Those that have been filled become voters. Those that have been emptied leave, one after the other, each
 // once what changed before is made good; and where those that stay bear no loss, not before others that are
 // being filled stay with them. A word counts only if it was said in the knowledge of the present state.
@@ -238,9 +300,9 @@
     if (!emptied || draft.changed || !earlier_voters_.empty()) return;
     Attendance now = attendance(draft);
     const bool more_will_stay = now.some_unfilled || !now.joining.empty();
-    if (more_will_stay && now.staying < bearing_voters()) return;
+    if (more_will_stay && !bear_losses(now.staying)) return;
     now.there.erase(emptied->info.identity);
-    if (!majorities_keep_one(voters_.voters(), now.there)) return;
+    if (!quorums_keep_one(voters_.quorum_of_voters(), now.there)) return;
     draft.remove(emptied->info.identity);
     remember(draft.state.retired, emptied->info.node);
 }
@@ -282,7 +344,7 @@
             attendance.there.insert(member.identity);
             const bool filled = is_filled(draft.heard(member.identity));
             if (!filled) attendance.some_unfilled = true;
-            if (filled && member.state == StorageState::member) ++attendance.staying;
+            if (filled && member.state == StorageState::member) attendance.staying.insert(member.identity);
         } else if (last < earliest) {
             earliest = last;
             attendance.longest_silent = &member;
@@ -295,14 +357,15 @@
 // than may be lost at once: each turn has a copy, and each majority that decided something a voter, among
 // those that are there.
 bool StorageMapReconciler::can_do_without_absent(const Attendance& attendance) const {
-    std::vector<std::set<std::int64_t>> all = earlier_voters_;
-    all.push_back(voters_.voters());
-    return std::all_of(all.begin(), all.end(), [&](const std::set<std::int64_t>& voters) {
-        const auto lost =
-            static_cast<std::size_t>(std::count_if(voters.begin(), voters.end(), [&](std::int64_t voter) {
-                return !attendance.there.count(voter) && !emptied_.count(voter);
-            }));
-        return lost <= machine_losses() && majorities_keep_one(voters, attendance.there);
+    std::vector<LedgerQuorum> all = earlier_voters_;
+    all.push_back(voters_.quorum_of_voters());
+    return std::all_of(all.begin(), all.end(), [&](const LedgerQuorum& quorum) {
+        std::set<std::int64_t> lost;
+        std::copy_if(
+            quorum.voters().begin(), quorum.voters().end(), std::inserter(lost, lost.end()),
+            [&](std::int64_t voter) { return !attendance.there.count(voter) && !emptied_.count(voter); });
+        const bool can_be_lost_at_once = !spread_of(lost).outlasts(options_.survive);
+        return can_be_lost_at_once && quorums_keep_one(quorum, attendance.there);
     });
 }
 
@@ -322,7 +385,7 @@
     const Attendance now = attendance(draft);
     if (!now.longest_silent || !can_do_without_absent(now)) return false;
     const StorageMember silent = *now.longest_silent;
-    const bool enough_there = now.there.size() >= bearing_voters();
+    const bool enough_there = bear_losses(now.there);
     if (enough_there && (now.some_unfilled || !now.joining.empty())) {
         draft.remove(silent.identity);
         return true;
@@ -343,6 +406,7 @@
 void StorageMapReconciler::drop_gone(Draft& draft) const {
     if (draft.now - dropped_ < options_.between_drops) return;
     std::size_t members = 0, heard = 0;
+    failure_domain::Spread heard_spread;
     std::optional<std::int64_t> gone, replaced;
     for (const StorageMember& member : draft.members()) {
         if (member.state == StorageState::joining) continue;
@@ -352,20 +416,33 @@
         if (is_gone) gone = member.identity;
         if (is_replaced) replaced = member.identity;
         ++members;
-        if (!is_gone && !is_replaced) ++heard;
+        if (is_gone || is_replaced) continue;
+        ++heard;
+        heard_spread.add(failure_domain::location_of(member));
     }
-    const bool plenty = heard >= options_.copies + 1;
-    const bool helps = heard >= options_.copies && tolerance(heard, heard) > tolerance(members, heard) &&
-                       tolerance(members, heard) < static_cast<int>(machine_losses());
+    if (!can_hold_copies(heard_spread)) return;
+    const bool plenty = heard >= options_.survive.copies() + 1;
+    const bool helps = tolerance(heard, heard) > tolerance(members, heard) &&
+                       tolerance(members, heard) < static_cast<int>(options_.survive.most());
     if (gone && (plenty || helps)) draft.remove(*gone);
     if (!gone && replaced && helps) draft.remove(*replaced);
 }
 
+// Of members that joined before regions mattered.
+void StorageMapReconciler::update_regions(Draft& draft) const {
+    for (StorageMember& member : draft.members()) {
+        const Heard* const storage = draft.heard(member.identity);
+        if (!storage || !storage->info.__isset.region || member.region == storage->info.region) continue;
+        member.__set_region(storage->info.region);
+        draft.changed = true;
+    }
+}
+
 // One that lost its disk, or was dropped, while it was being emptied has joined anew: the order still stands.
 void StorageMapReconciler::resume_retirements(Draft& draft) const {
     for (StorageMember& member : draft.members()) {
         if (member.state != StorageState::member || retiring_nodes_.count(member.node) == 0) continue;
-        if (attendance(draft).staying <= bearing_voters()) return;
+        if (!bear_losses_without(attendance(draft).staying, member.identity)) return;
         member.state = StorageState::retiring;
         draft.changed = true;
         return;
@@ -379,7 +456,7 @@
     if (current.storage.epoch == 0) {
         if (!found(draft)) return std::nullopt;
         draft.state.storage.epoch = 1;
-        draft.state.storage.ledger_group = options_.ledger_group;
+        place_ledgers_by_losses(draft.state.storage);
         return std::move(draft.state);
     }
 
@@ -401,6 +478,7 @@
         if (!draft.changed && !drop_silent_joiner(draft) && !replace_silent(draft)) drop_gone(draft);
         if (!draft.changed) resume_retirements(draft);
         if (!draft.changed) place_ledgers(draft);
+        if (!draft.changed) update_regions(draft);
     }
     if (!draft.changed) return std::nullopt;
     ++draft.state.storage.epoch;
--- a/src/control_plane/storage_map_reconciler.hpp
+++ b/src/control_plane/storage_map_reconciler.hpp
@@ -22,6 +22,7 @@
 #include <vector>
 
 #include "control_plane/membership.hpp"
+#include "failure_domain/spread.hpp"
 #include "storage_map/ledger_placement.hpp"
 
 namespace whinledge::control_plane {
@@ -33,7 +34,7 @@
 class StorageMapReconciler {
 public:
     struct Options {
-        std::size_t copies = 2;         // of each record: machineLosses + 1
+        failure_domain::LossTolerance survive;
         std::int32_t ledger_group = 0;  // voters that keep a program's ledger; 0: all
         Span present{2200};             // heard within: it is there
         Span gone{8000};                // unheard for so long: it may be dropped
@@ -61,8 +62,14 @@
     };
     class Draft;
     struct Attendance;
-    std::size_t machine_losses() const { return options_.copies - 1; }
-    std::size_t bearing_voters() const { return 2 * machine_losses() + 1; }
+    // After any loss that is to be borne, those of them that are left decide about ledgers.
+    bool bear_losses(const std::set<std::int64_t>& voters) const;
+    bool bear_losses_without(std::set<std::int64_t> voters, std::int64_t leaving) const;
+    void place_ledgers_by_losses(wire::StorageMap& map) const;
+    bool can_hold_copies(const failure_domain::Spread& members) const;
+    failure_domain::Spread spread_of(const std::set<std::int64_t>& identities) const;
+    void note_locations(const wire::RegisterState& state);
+    void update_regions(Draft& draft) const;
     bool majority_knows(const wire::RegisterState& current, const std::vector<Heard>& storages) const;
     void count_progress(Draft& draft) const;
     Instant last_heard(const Draft& draft, const wire::StorageMember& member) const;
@@ -89,8 +96,10 @@
     // Of the present voters, those that have said since they are so that they vote and lack nothing.
     std::set<std::int64_t> complete_;
     // Voters of the maps before, since all voters of a map were complete; and who of them left emptied.
-    std::vector<std::set<std::int64_t>> earlier_voters_;
+    std::vector<storage_map::LedgerQuorum> earlier_voters_;
     std::set<std::int64_t> emptied_;
+    // By identity, of the voters of the present map and of those before it.
+    std::map<std::int64_t, failure_domain::Location> locations_;
     std::set<std::string>
         retiring_nodes_;  // whose order is not finished, though they may have left meanwhile
 };
--- a/src/data_plane/proxy.cpp
+++ b/src/data_plane/proxy.cpp
@@ -184,7 +184,7 @@
 storage_plane::TurnClient::Options Proxy::turn_options() {
     storage_plane::TurnClient::Options options;
     options.zone = settings_.zone;
-    options.machine_losses = settings_.tolerated_losses();
+    options.survive = settings_.survive();
     if (!settings_.share_loads) return options;
     options.load = [this](bool asks) { return pools_.load_report(asks); };
     options.loads_told = [this](const storage_plane::ToldLoads& told) { pools_.loads_told(told); };
--- a/src/node/settings.cpp
+++ b/src/node/settings.cpp
@@ -161,8 +161,13 @@
 
 }  // namespace
 
-int Settings::tolerated_losses() const {
-    return static_cast<int>(std::max({survive_machines, survive_zones, survive_regions}));
+failure_domain::LossTolerance Settings::survive() const {
+    return {static_cast<int>(survive_machines), static_cast<int>(survive_zones),
+            static_cast<int>(survive_regions)};
+}
+
+std::optional<std::string> Settings::told_region() const {
+    return survive_regions > 0 ? std::optional(region) : std::nullopt;
 }
 
 std::vector<std::string> Settings::seed_rpc_addresses() const {
--- a/src/node/settings.hpp
+++ b/src/node/settings.hpp
@@ -4,10 +4,13 @@
 #include <boost/outcome/result.hpp>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
+#include "failure_domain/loss_tolerance.hpp"
+
 namespace whinledge::node {
 
 // What kinds of value the list of settings names.
@@ -26,9 +29,10 @@
 #undef WHINLEDGE_SETTING
     std::map<std::string, std::string> zone_regions;  // zones.NAME=REGION
 
-    // Machines that may be lost at once while all that was promised holds; a zone or a region counts as one,
-    // since copies stand in zones of their own.
-    int tolerated_losses() const;
+    // What may be lost at once while all that was promised holds.
+    failure_domain::LossTolerance survive() const;
+    // To be told to others; none where no loss of regions is to be borne.
+    std::optional<std::string> told_region() const;
 
     // IP:PORT of this process's RPC server, and of the one on another machine: ports are alike everywhere.
     std::string rpc_address() const { return rpc_address_of(ip); }
--- a/src/storage_map/holder_order.cpp
+++ b/src/storage_map/holder_order.cpp
@@ -7,23 +7,26 @@
 #include <algorithm>
 #include <unordered_map>
 
+#include "failure_domain/spread.hpp"
+
 namespace whinledge::storage_map {
 namespace {
 
-struct Coverage {
-    std::size_t members = 0;
-    std::set<std::string> zones;
-};
+using failure_domain::location_of;
+using failure_domain::LossTolerance;
+using failure_domain::Spread;
 
-Coverage coverage_of(const std::vector<const wire::StorageMember*>& members,
-                     const std::set<std::int64_t>& holders) {
-    Coverage coverage;
-    for (const wire::StorageMember* member : members) {
-        if (!holders.count(member->identity)) continue;
-        ++coverage.members;
-        coverage.zones.insert(member->zone);
-    }
-    return coverage;
+Spread spread_of(const std::vector<const wire::StorageMember*>& members,
+                 const std::set<std::int64_t>& holders) {
+    Spread spread;
+    for (const wire::StorageMember* member : members)
+        if (holders.count(member->identity)) spread.add(location_of(*member));
+    return spread;
+}
+
+bool covers(const Spread& spread, const CopiesNeeded& needed) {
+    return spread.machines() >= needed.members && spread.zones() >= needed.zones &&
+           spread.regions() >= needed.regions;
 }
 
 }  // namespace
@@ -48,41 +51,41 @@
               });
 }
 
-CopiesNeeded HolderOrder::copies_needed(int machine_losses) const {
-    std::set<std::string> zones;
-    for (const wire::StorageMember* member : members_) zones.insert(member->zone);
-    const std::size_t copies = static_cast<std::size_t>(std::max(machine_losses, 0)) + 1;
-    return {copies, std::min(copies, zones.size())};
+CopiesNeeded HolderOrder::copies_needed(const LossTolerance& survive) const {
+    Spread all;
+    for (const wire::StorageMember* member : members_) all.add(location_of(*member));
+    const std::size_t copies = survive.copies();
+    return {copies, std::min(copies, all.zones()), std::min(survive.region_losses() + 1, all.regions())};
 }
 
-bool HolderOrder::durable(const std::set<std::int64_t>& holders, int machine_losses) const {
-    const CopiesNeeded needed = copies_needed(machine_losses);
-    const Coverage held = coverage_of(members_, holders);
-    return held.members >= needed.members && held.zones.size() >= needed.zones;
+bool HolderOrder::durable(const std::set<std::int64_t>& holders, const LossTolerance& survive) const {
+    return covers(spread_of(members_, holders), copies_needed(survive));
 }
 
 std::vector<const wire::StorageMember*> HolderOrder::complement(
-    const std::set<std::int64_t>& holders, int machine_losses,
+    const std::set<std::int64_t>& holders, const LossTolerance& survive,
     const std::function<bool(const wire::StorageMember&)>& usable) const {
-    const CopiesNeeded needed = copies_needed(machine_losses);
-    Coverage held = coverage_of(members_, holders);
+    const CopiesNeeded needed = copies_needed(survive);
+    Spread held = spread_of(members_, holders);
     std::vector<const wire::StorageMember*> chosen;
-    const auto take = [&](bool only_new_zones) {
+    const auto take = [&](const auto& enough, const auto& helps) {
         for (const wire::StorageMember* member : members_) {
-            const bool enough =
-                only_new_zones ? held.zones.size() >= needed.zones : held.members >= needed.members;
-            if (enough) return;
-            if (holders.count(member->identity) || !usable(*member)) continue;
+            if (enough()) return;
+            if (holders.count(member->identity) || !usable(*member) || !helps(*member)) continue;
             if (std::find(chosen.begin(), chosen.end(), member) != chosen.end()) continue;
-            if (only_new_zones && held.zones.count(member->zone)) continue;
             chosen.push_back(member);
-            ++held.members;
-            held.zones.insert(member->zone);
+            held.add(location_of(*member));
         }
     };
-    take(true);
+    const auto regions_covered = [&] { return held.regions() >= needed.regions; };
+    const auto zones_covered = [&] { return held.zones() >= needed.zones; };
+    take(regions_covered,
+         [&](const wire::StorageMember& member) { return held.machines_in_region(member.region) == 0; });
+    take(zones_covered,
+         [&](const wire::StorageMember& member) { return held.machines_in_zone(member.zone) == 0; });
     // Machines of zones that are covered already help only where the map has fewer zones than copies.
-    if (held.zones.size() >= needed.zones) take(false);
+    if (regions_covered() && zones_covered())
+        take([&] { return held.machines() >= needed.members; }, [](const auto&) { return true; });
     return chosen;
 }
 
--- a/src/storage_map/ledger_placement.cpp
+++ b/src/storage_map/ledger_placement.cpp
@@ -14,6 +14,11 @@
     : group_size_(static_cast<std::size_t>(std::max(map.ledger_group, 0))) {
     for (const wire::StorageMember& member : map.members)
         if (votes(member) || (joiner != 0 && member.identity == joiner)) voters_.insert(member.identity);
+    if (map.__isset.survive) survive_ = {map.survive.machines, map.survive.zones, map.survive.regions};
+    if (survive_.names_domains())
+        for (const wire::StorageMember& member : map.members)
+            if (voters_.count(member.identity))
+                locations_.emplace(member.identity, failure_domain::location_of(member));
     grouped_ = group_size_ > 0 && voters_.size() > group_size_;
     if (!grouped_) {
         group_size_ = 0;
@@ -53,9 +58,23 @@
     std::vector<Candidate> ranked;
     ranked.reserve(by_round.size());
     for (const auto& [round, candidate] : by_round) ranked.push_back(candidate);
+    if (survive_.regions > 0) spread_over_regions(ranked);
     return ranked;
 }
 
+// The first of each region, then the second of each, and so on.
+void LedgerPlacement::spread_over_regions(std::vector<Candidate>& ranked) const {
+    std::map<std::string, std::size_t> taken;
+    std::vector<std::pair<std::size_t, Candidate>> by_round;
+    by_round.reserve(ranked.size());
+    for (const Candidate& candidate : ranked)
+        by_round.emplace_back(taken[locations_.at(candidate.identity).region]++, candidate);
+    std::stable_sort(by_round.begin(), by_round.end(),
+                     [](const auto& a, const auto& b) { return a.first < b.first; });
+    ranked.clear();
+    for (const auto& [round, candidate] : by_round) ranked.push_back(candidate);
+}
+
 std::set<std::int64_t> LedgerPlacement::group(const std::string& program) const {
     if (!grouped_) return voters_;
     std::set<std::int64_t> group;
@@ -87,12 +106,69 @@
     return rounds;
 }
 
+LedgerQuorum LedgerPlacement::quorum(const std::string& program) const { return quorum_of(group(program)); }
+
+LedgerQuorum LedgerPlacement::quorum_of(const std::set<std::int64_t>& group) const {
+    std::vector<LedgerVoter> voters;
+    for (const std::int64_t identity : group) {
+        const auto at = locations_.find(identity);
+        voters.push_back({identity, at == locations_.end() ? failure_domain::Location() : at->second});
+    }
+    return {voters, survive_};
+}
+
+bool LedgerPlacement::are_minority_of_each_group(const std::set<std::int64_t>& identities) const {
+    const auto minority_of = [](std::size_t size) { return size - reservation_majority(size); };
+    if (!grouped_) return true;
+    if (most_in_one_group(identities) >= minority_of(group_size_)) return false;
+    if (!survive_.names_domains()) return true;
+    const std::size_t zones = std::min(zone_sizes_.size(), group_size_);
+    if (zones_with_one_more(identities) >= reservation_majority(zones)) return false;
+    return survive_.regions == 0 || regions_touched(identities) < minority_of(region_count());
+}
+
+// The most zones of a group in which these and one more voter are a majority.
+std::size_t LedgerPlacement::zones_with_one_more(const std::set<std::int64_t>& identities) const {
+    std::vector<std::size_t> in_zone(zone_sizes_.size(), 0);
+    for (const Candidate& candidate : staying_)
+        in_zone[candidate.zone] += identities.count(candidate.identity);
+    const std::size_t most = rounds(), least = std::max<std::size_t>(most, 2) - 1;
+    // Of a zone a group has `most` voters, or one fewer, or all that there are.
+    const auto can_be_majority = [&](std::size_t count, std::size_t size) {
+        return std::min(count, size) >= reservation_majority(std::min(size, least)) ||
+               std::min(count, size) >= reservation_majority(std::min(size, most));
+    };
+    std::size_t zones = 0;
+    bool by_one_more = false;
+    for (std::size_t zone = 0; zone < in_zone.size(); ++zone) {
+        if (can_be_majority(in_zone[zone], zone_sizes_[zone]))
+            ++zones;
+        else
+            by_one_more |= can_be_majority(in_zone[zone] + 1, zone_sizes_[zone]);
+    }
+    return zones + (by_one_more ? 1 : 0);
+}
+
+std::size_t LedgerPlacement::region_count() const {
+    std::set<std::string> regions;
+    for (const auto& [identity, at] : locations_) regions.insert(at.region);
+    return std::min(regions.size(), group_size_);
+}
+
+std::size_t LedgerPlacement::regions_touched(const std::set<std::int64_t>& identities) const {
+    std::set<std::string> regions;
+    for (const auto& [identity, at] : locations_)
+        if (identities.count(identity)) regions.insert(at.region);
+    return regions.size();
+}
+
 std::size_t LedgerPlacement::most_in_one_group(const std::set<std::int64_t>& identities) const {
     if (!grouped_) {
         return static_cast<std::size_t>(
             std::count_if(identities.begin(), identities.end(),
                           [this](std::int64_t identity) { return voters_.count(identity) > 0; }));
     }
+    if (survive_.regions > 0) return std::min(identities.size(), group_size_);
     std::vector<std::size_t> in_zone(zone_sizes_.size(), 0);
     for (const Candidate& candidate : staying_)
         in_zone[candidate.zone] += identities.count(candidate.identity);
--- a/src/storage_map/staying_holders.cpp
+++ b/src/storage_map/staying_holders.cpp
@@ -6,26 +6,36 @@
 
 namespace whinledge::storage_map {
 
-StayingHolders::StayingHolders(const wire::StorageMap& map, int machine_losses)
-    : copies_(static_cast<std::size_t>(std::max(machine_losses, 0)) + 1) {
-    std::map<std::string, std::size_t> zones;
+namespace {
+
+// Sets of zones or regions, a bit for each.
+constexpr std::size_t kBits = 64;
+std::uint64_t bit_of(std::size_t number) { return std::uint64_t{1} << (number % kBits); }
+std::size_t count_of(std::uint64_t bits) { return static_cast<std::size_t>(std::popcount(bits)); }
+
+}  // namespace
+
+StayingHolders::StayingHolders(const wire::StorageMap& map, const failure_domain::LossTolerance& survive)
+    : copies_(survive.copies()), regions_(survive.region_losses() + 1) {
+    std::map<std::string, std::size_t> zones, regions;
     for (const wire::StorageMember& member : map.members) {
         if (member.state == wire::StorageState::retiring) continue;
-        zones_[member.identity] = zones.emplace(member.zone, zones.size()).first->second;
+        places_[member.identity] = {zones.emplace(member.zone, zones.size()).first->second,
+                                    regions.emplace(member.region, regions.size()).first->second};
     }
 }
 
 bool StayingHolders::enough(const std::vector<std::int64_t>& holders) const {
-    constexpr std::size_t kBits = 64;
     std::size_t staying = 0;
-    std::uint64_t zones = 0;  // a bit for each
+    std::uint64_t zones = 0, regions = 0;
     for (const std::int64_t holder : holders) {
-        const auto zone = zones_.find(holder);
-        if (zone == zones_.end()) continue;
+        const auto place = places_.find(holder);
+        if (place == places_.end()) continue;
         ++staying;
-        zones |= std::uint64_t{1} << (zone->second % kBits);
+        zones |= bit_of(place->second.zone);
+        regions |= bit_of(place->second.region);
     }
-    return staying >= copies_ && static_cast<std::size_t>(std::popcount(zones)) >= copies_;
+    return staying >= copies_ && count_of(zones) >= copies_ && count_of(regions) >= regions_;
 }
 
 }  // namespace whinledge::storage_map
--- a/src/storage_map/staying_holders.hpp
+++ b/src/storage_map/staying_holders.hpp
@@ -10,18 +10,18 @@
 #include <vector>
 
 #include "control_types.h"  // generated from idl/control.thrift
+#include "failure_domain/loss_tolerance.hpp"
 
 namespace whinledge::storage_map {
 
 class StayingHolders {
 public:
-    StayingHolders(const wire::StorageMap& map, int machine_losses);
+    StayingHolders(const wire::StorageMap& map, const failure_domain::LossTolerance& survive);
 
-    // Copies that make a turn durable, each in another zone: `machine_losses` + 1.
-    std::size_t copies() const { return copies_; }
-    bool has(std::int64_t identity) const { return zones_.count(identity) > 0; }
-    // Of these holders so many stay, in so many zones. Of more than 64 zones some count as one, which only
-    // says "not enough".
+    bool has(std::int64_t identity) const { return places_.count(identity) > 0; }
+    // Those of these holders that stay are as many copies as make a turn durable, each in another zone, in as
+    // many regions as outlast the loss. Of more than 64 zones or regions some count as one, which only says
+    // "not enough".
     bool enough(const std::vector<std::int64_t>& holders) const;
     // They are enough, and one fewer would not be: nobody else should hold the turn.
     bool just_enough(const std::vector<std::int64_t>& holders) const {
@@ -29,8 +29,11 @@
     }
 
 private:
-    std::size_t copies_;
-    std::unordered_map<std::int64_t, std::size_t> zones_;  // by identity, of members that stay
+    struct Place {
+        std::size_t zone = 0, region = 0;  // counted from 0
+    };
+    std::size_t copies_, regions_;                    // that are needed
+    std::unordered_map<std::int64_t, Place> places_;  // by identity, of members that stay
 };
 
 }  // namespace whinledge::storage_map
--- a/src/storage_map/wanted_holders.cpp
+++ b/src/storage_map/wanted_holders.cpp
@@ -1,11 +1,27 @@
 #include "storage_map/wanted_holders.hpp"
 
 #include <algorithm>
-#include <set>
 
+#include "failure_domain/spread.hpp"
 #include "storage_map/holder_order.hpp"
 
 namespace whinledge::storage_map {
+namespace {
+
+using failure_domain::location_of;
+using failure_domain::LossTolerance;
+using failure_domain::Spread;
+
+// By rendezvous, best first.
+void rank(std::vector<const wire::StorageMember*>& members, const std::string& name) {
+    std::sort(members.begin(), members.end(),
+              [&](const wire::StorageMember* a, const wire::StorageMember* b) {
+                  return std::pair(rendezvous_weight(name, a->identity), a->identity) >
+                         std::pair(rendezvous_weight(name, b->identity), b->identity);
+              });
+}
+
+}  // namespace
 
 const wire::StorageMember* find_member(const wire::StorageMap& map, std::int64_t identity) {
     for (const wire::StorageMember& member : map.members)
@@ -14,45 +30,54 @@
 }
 
 std::vector<std::int64_t> wanted_holders(const std::string& id, const std::vector<std::int64_t>& holders,
-                                         const wire::StorageMap& map, int machine_losses) {
-    const std::size_t copies = static_cast<std::size_t>(std::max(machine_losses, 0)) + 1;
+                                         const wire::StorageMap& map, const LossTolerance& survive) {
+    const std::size_t copies = survive.copies(), regions = survive.region_losses() + 1;
     std::vector<std::int64_t> wanted;
-    std::set<std::string> zones;
+    Spread spread;
     std::vector<const wire::StorageMember*> others;
+    const auto take = [&](const wire::StorageMember& member) {
+        wanted.push_back(member.identity);
+        spread.add(location_of(member));
+    };
     for (const wire::StorageMember& member : map.members) {
         if (member.state == wire::StorageState::retiring) continue;
-        if (std::find(holders.begin(), holders.end(), member.identity) == holders.end()) {
+        if (std::find(holders.begin(), holders.end(), member.identity) == holders.end())
             others.push_back(&member);
-            continue;
-        }
-        wanted.push_back(member.identity);
-        zones.insert(member.zone);
+        else
+            take(member);
+    }
+    if (wanted.size() >= copies && spread.zones() >= copies && spread.regions() >= regions) return wanted;
+    rank(others, id);
+    for (const wire::StorageMember* member : others) {
+        if (spread.regions() >= regions) break;
+        if (spread.machines_in_region(member->region) == 0) take(*member);
     }
-    if (wanted.size() >= copies && zones.size() >= copies) return wanted;
-    std::sort(others.begin(), others.end(), [&](const wire::StorageMember* a, const wire::StorageMember* b) {
-        return std::pair(rendezvous_weight(id, a->identity), a->identity) >
-               std::pair(rendezvous_weight(id, b->identity), b->identity);
-    });
     for (const wire::StorageMember* member : others) {
-        if (zones.size() >= copies) break;
-        if (zones.insert(member->zone).second) wanted.push_back(member->identity);
+        if (spread.zones() >= copies) break;
+        if (spread.machines_in_zone(member->zone) == 0) take(*member);
     }
     // There are fewer zones than copies.
     for (const wire::StorageMember* member : others) {
         if (wanted.size() >= copies) break;
-        if (std::find(wanted.begin(), wanted.end(), member->identity) == wanted.end())
-            wanted.push_back(member->identity);
+        if (std::find(wanted.begin(), wanted.end(), member->identity) == wanted.end()) take(*member);
     }
     return wanted;
 }
 
 bool stands_for(const std::string& program, std::int64_t identity, const wire::StorageMap& map,
-                int machine_losses) {
+                const LossTolerance& survive) {
     const std::pair own(rendezvous_weight(program, identity), identity);
-    int before = 0;
+    const auto self = find_member(map, identity);
+    Spread before;
     for (const wire::StorageMember& member : map.members)
-        before += std::pair(rendezvous_weight(program, member.identity), member.identity) > own;
-    return before <= std::max(machine_losses, 0);
+        if (std::pair(rendezvous_weight(program, member.identity), member.identity) > own)
+            before.add(location_of(member));
+    if (before.machines() <= survive.most()) return true;
+    if (!self) return false;
+    const bool new_zone = before.zones() <= survive.zone_losses() && before.machines_in_zone(self->zone) == 0;
+    const bool new_region =
+        before.regions() <= survive.region_losses() && before.machines_in_region(self->region) == 0;
+    return new_zone || new_region;
 }
 
 }  // namespace whinledge::storage_map
--- a/src/storage_plane/digest_summary.hpp
+++ b/src/storage_plane/digest_summary.hpp
@@ -5,6 +5,8 @@
 #include <cstdint>
 #include <vector>
 
+#include "failure_domain/loss_tolerance.hpp"
+
 namespace whinledge::storage_plane {
 
 struct DigestSummary {
@@ -18,7 +20,7 @@
     struct Scope {
         std::int64_t self = 0;  // identity
         std::int64_t map_epoch = 0;
-        int machine_losses = 0;
+        failure_domain::LossTolerance survive{};
         bool operator==(const Scope&) const = default;
     };
 
--- a/src/storage_plane/ledger_spread.cpp
+++ b/src/storage_plane/ledger_spread.cpp
@@ -7,16 +7,6 @@
 
 constexpr std::size_t kMostMaps = 64;  // without being reset; beyond them all others are followed
 
-// Whether any majority of `before`, as far as it is still there, meets any majority of `after`. Those that
-// came since have followed all others before they voted: they hold what was decided.
-bool majorities_meet(const std::set<std::int64_t>& before, const std::set<std::int64_t>& after) {
-    const auto kept = static_cast<std::size_t>(std::count_if(
-        before.begin(), before.end(), [&](std::int64_t identity) { return after.count(identity) > 0; }));
-    const std::size_t lost = before.size() - kept;
-    const std::size_t held = storage_map::reservation_majority(before.size());
-    return held > lost && held - lost + storage_map::reservation_majority(after.size()) > kept;
-}
-
 }  // namespace
 
 void LedgerSpread::reset(const wire::StorageMap& map) {
@@ -55,7 +45,7 @@
     }
     const bool meet =
         std::all_of(placements_.begin(), placements_.end(), [&](const storage_map::LedgerPlacement& before) {
-            return planted.any_change || majorities_meet(before.voters(), after.voters());
+            return planted.any_change || before.quorum_of_voters().meets(after.quorum_of_voters());
         });
     placements_.push_back(after);
     return meet && !unknown;
@@ -66,25 +56,25 @@
     if (gap_ && !planted.votes_unfilled) return false;
     const storage_map::LedgerPlacement& present = placements_.back();
     if (!some_wait() || planted.votes_unfilled) return present.keeps(program, identity);
-    const std::set<std::int64_t> group = present.group(program);
-    if (group.count(identity) == 0) return false;
+    const storage_map::LedgerQuorum quorum = present.quorum(program);
+    if (quorum.voters().count(identity) == 0) return false;
     return std::all_of(placements_.begin(), placements_.end() - 1,
                        [&](const storage_map::LedgerPlacement& placement) {
-                           const std::set<std::int64_t> before = placement.group(program);
-                           if (before.count(identity) == 0) return false;
-                           return planted.any_change || majorities_meet(before, group);
+                           const storage_map::LedgerQuorum before = placement.quorum(program);
+                           if (before.voters().count(identity) == 0) return false;
+                           return planted.any_change || before.meets(quorum);
                        });
 }
 
-std::size_t LedgerSpread::may_miss(int machine_losses) const {
+std::size_t LedgerSpread::may_miss(const failure_domain::LossTolerance& survive) const {
     if (planted.follows_few) return 2;
-    if (placements_.empty()) return 0;
+    if (placements_.empty() || survive.names_domains()) return 0;
     const std::size_t size = placements_.back().group_size();
     const bool alike = std::all_of(placements_.begin(), placements_.end(),
                                    [size](const storage_map::LedgerPlacement& placement) {
                                        return placement.grouped() && placement.group_size() == size;
                                    });
-    const std::size_t lost = static_cast<std::size_t>(std::max(machine_losses, 0)) + 1;
+    const std::size_t lost = survive.machine_losses() + 1;
     const std::size_t majority = storage_map::reservation_majority(size);
     return alike && majority > lost ? majority - lost : 0;
 }
--- a/src/storage_plane/ledger_spread.hpp
+++ b/src/storage_plane/ledger_spread.hpp
@@ -30,7 +30,7 @@
     bool some_wait() const { return gap_ || (some_grouped() && placements_.size() > 1); }
     // Of the other members so many need not be followed where ledgers lie on groups: of a majority that
     // decided something, as far as its disks are not lost, at least one has been followed all the same.
-    std::size_t may_miss(int machine_losses) const;
+    std::size_t may_miss(const failure_domain::LossTolerance& survive) const;
     // Under the newest map programs differ in who keeps their ledgers.
     bool grouped() const { return !placements_.empty() && placements_.back().grouped(); }
     // Whether a member keeps the program's ledger under the newest map, and a majority that it votes in meets
--- a/src/storage_plane/repair.cpp
+++ b/src/storage_plane/repair.cpp
@@ -343,18 +343,36 @@
     if (proved_by.empty() && !peers_.empty()) return false;
     // What this member granted has to be kept by those that keep the ledger now.
     if (all || node_.ledgers_grouped()) return all;
-    const std::size_t copies = static_cast<std::size_t>(std::max(options_.machine_losses, 0)) + 1;
     for (const auto& [id, turn] : node_.index().turns()) {
         std::set<std::int64_t> holds;
         for (const std::int64_t identity :
-             storage_map::wanted_holders(id, turn.holders, node_.map(), options_.machine_losses))
+             storage_map::wanted_holders(id, turn.holders, node_.map(), options_.survive))
             if (proved_by.count(identity)) holds.insert(identity);
         for (const std::int64_t identity : pushed_to(id)) holds.insert(identity);
-        if (holds.size() < copies) return false;
+        if (!outlast(spread_of(holds))) return false;
     }
     return true;
 }
 
+failure_domain::Spread Repair::spread_of(const std::set<std::int64_t>& identities) const {
+    failure_domain::Spread spread;
+    for (const auto& [identity, peer] : peers_)
+        if (identities.count(identity)) spread.add(failure_domain::location_of(peer->member));
+    return spread;
+}
+
+// Copies at these holders are enough; where those that stay lie in too few zones or regions, in all of these.
+bool Repair::outlast(const failure_domain::Spread& holders) const {
+    failure_domain::Spread staying;
+    for (const auto& [identity, peer] : peers_)
+        if (peer->member.state != wire::StorageState::retiring)
+            staying.add(failure_domain::location_of(peer->member));
+    const failure_domain::LossTolerance& survive = options_.survive;
+    return holders.machines() >= survive.copies() &&
+           holders.zones() >= std::min(survive.zone_losses() + 1, staying.zones()) &&
+           holders.regions() >= std::min(survive.region_losses() + 1, staying.regions());
+}
+
 // Those that have synced a copy that was given to them, and still are members that stay.
 std::set<std::int64_t> Repair::pushed_to(const std::string& id) const {
     std::set<std::int64_t> staying;
@@ -368,17 +386,43 @@
     return staying;
 }
 
+// Of the others, best first, those that would make the holders outlast a loss: first where no copy would lie
+// in their region or zone, then the rest.
+std::vector<std::int64_t> Repair::complement(
+    failure_domain::Spread holders, const std::vector<std::pair<std::uint64_t, std::int64_t>>& others) const {
+    std::vector<std::int64_t> chosen;
+    const auto take = [&](const auto& helps) {
+        for (const auto& [weight, identity] : others) {
+            const failure_domain::Location at =
+                failure_domain::location_of(peers_.find(identity)->second->member);
+            if (outlast(holders)) return;
+            if (!helps(at) || std::find(chosen.begin(), chosen.end(), identity) != chosen.end()) continue;
+            chosen.push_back(identity);
+            holders.add(at);
+        }
+    };
+    const failure_domain::LossTolerance& survive = options_.survive;
+    take([&](const failure_domain::Location& at) {
+        return holders.regions() <= survive.region_losses() && holders.machines_in_region(at.region) == 0;
+    });
+    take([&](const failure_domain::Location& at) {
+        return holders.zones() <= survive.zone_losses() && holders.machines_in_zone(at.zone) == 0;
+    });
+    take([](const failure_domain::Location&) { return true; });
+    return chosen;
+}
+
 // To those that answer, in place of those that do not.
 void Repair::push_copies() {
-    const std::size_t copies = static_cast<std::size_t>(std::max(options_.machine_losses, 0)) + 1;
     std::map<std::int64_t, std::pair<std::vector<std::string>, std::size_t>> batches;
     for (const auto& [id, turn] : node_.index().turns()) {
         std::set<std::int64_t> holds = pushed_to(id);
         for (const std::int64_t identity :
-             storage_map::wanted_holders(id, turn.holders, node_.map(), options_.machine_losses))
+             storage_map::wanted_holders(id, turn.holders, node_.map(), options_.survive))
             if (const auto peer = peers_.find(identity); peer != peers_.end() && proved(*peer->second))
                 holds.insert(identity);
-        if (holds.size() >= copies) continue;
+        failure_domain::Spread spread = spread_of(holds);
+        if (outlast(spread)) continue;
         std::vector<std::pair<std::uint64_t, std::int64_t>> others;
         for (const auto& [identity, peer] : peers_) {
             const bool answers = node_.acknowledged(identity).map_epoch == epoch_;
@@ -387,8 +431,8 @@
             others.emplace_back(storage_map::rendezvous_weight(id, identity), identity);
         }
         std::sort(others.rbegin(), others.rend());
-        for (std::size_t i = 0; i < others.size() && holds.size() + i < copies; ++i) {
-            auto& [ids, bytes] = batches[others[i].second];
+        for (const std::int64_t identity : complement(spread, others)) {
+            auto& [ids, bytes] = batches[identity];
             if (bytes >= options_.fetch_bytes) continue;
             ids.push_back(id);
             bytes += turn.place.size;
--- a/src/storage_plane/repair.hpp
+++ b/src/storage_plane/repair.hpp
@@ -15,8 +15,10 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
+#include "failure_domain/spread.hpp"
 #include "rpc/call.hpp"
 #include "storage_plane/storage_node.hpp"
 
@@ -41,7 +43,7 @@
 class Repair {
 public:
     struct Options {
-        int machine_losses = 1;
+        failure_domain::LossTolerance survive{};
         std::int64_t poll_ms = 2000;           // between questions to a member that was followed to its end
         std::int64_t retry_ms = 250;           // after a failure, or while this member is not filled
         std::int64_t digest_ms = 5000;         // between comparisons with one member
@@ -91,6 +93,11 @@
     bool emptied() const;
     bool proved(const Peer& peer) const;
     std::set<std::int64_t> pushed_to(const std::string& id) const;
+    failure_domain::Spread spread_of(const std::set<std::int64_t>& identities) const;
+    bool outlast(const failure_domain::Spread& holders) const;
+    std::vector<std::int64_t> complement(
+        failure_domain::Spread holders,
+        const std::vector<std::pair<std::uint64_t, std::int64_t>>& others) const;
     void push_copies();
     void push_batch(const std::shared_ptr<Peer>& peer, std::vector<std::string> ids);
 
--- a/src/storage_plane/shared_digest.cpp
+++ b/src/storage_plane/shared_digest.cpp
@@ -63,11 +63,11 @@
 class SharedDigests::View {
 public:
     View(const TurnStore& store, const DigestScope& scope)
-        : store_(store), scope_(scope), staying_(scope.map, scope.machine_losses), ledgers_(scope.map) {}
+        : store_(store), scope_(scope), staying_(scope.map, scope.survive), ledgers_(scope.map) {}
 
     const DigestScope& scope() const { return scope_; }
 
-    DigestSummary::Scope kept_for() const { return {scope_.self, scope_.map.epoch, scope_.machine_losses}; }
+    DigestSummary::Scope kept_for() const { return {scope_.self, scope_.map.epoch, scope_.survive}; }
 
     DigestSummary summary_of(const std::string& name, const HeldProgram& program) const {
         DigestSummary summary;
@@ -91,8 +91,7 @@
 
     void sum_turn(const std::string& id, const HeldTurn& turn, DigestSummary& summary) const {
         if (staying_.enough(turn.holders)) return sum_holders(turn, turn.holders, summary);
-        sum_holders(turn, storage_map::wanted_holders(id, turn.holders, scope_.map, scope_.machine_losses),
-                    summary);
+        sum_holders(turn, storage_map::wanted_holders(id, turn.holders, scope_.map, scope_.survive), summary);
     }
 
     void sum_holders(const HeldTurn& turn, const std::vector<std::int64_t>& holders,
--- a/src/storage_plane/shared_digest.hpp
+++ b/src/storage_plane/shared_digest.hpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "control_types.h"  // generated from idl/control.thrift
+#include "failure_domain/loss_tolerance.hpp"
 #include "storage_plane/turn_store.hpp"
 
 namespace whinledge::storage_plane {
@@ -17,7 +18,7 @@
     std::int64_t self = 0;
     std::int64_t other = 0;
     const wire::StorageMap& map;
-    int machine_losses = 1;
+    failure_domain::LossTolerance survive{};
     std::int64_t now_ms = 0;  // steady
 };
 
--- a/src/storage_plane/storage_node.hpp
+++ b/src/storage_plane/storage_node.hpp
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "control_types.h"  // generated from idl/*.thrift
+#include "failure_domain/loss_tolerance.hpp"
 #include "storage_map/staying_holders.hpp"
 #include "storage_plane/files.hpp"
 #include "storage_plane/ledger_spread.hpp"
@@ -29,7 +30,7 @@
 class StorageNode {
 public:
     struct Options {
-        int machine_losses = 1;
+        failure_domain::LossTolerance survive{};
         std::uint64_t disk_bytes = 255'000'000;
         std::uint64_t segment_bytes = 4U << 20;
         std::size_t cache_bytes = 32U << 20;
@@ -77,9 +78,7 @@
     // The other members of the present map have been followed to their end, all but ledgers_may_miss() of
     // them.
     void mark_followed();
-    std::size_t ledgers_may_miss() const {
-        return filled_ ? ledger_spread_.may_miss(options_.machine_losses) : 0;
-    }
+    std::size_t ledgers_may_miss() const { return filled_ ? ledger_spread_.may_miss(options_.survive) : 0; }
     // Whether it may vote on the ledger of a program.
     bool votes_on(const std::string& program) const {
         return voting() && ledger_spread_.may_vote(program, identity_);
--- a/src/storage_plane/storage_node_members.cpp
+++ b/src/storage_plane/storage_node_members.cpp
@@ -88,7 +88,7 @@
 
 bool StorageNode::lacks(const wire::TurnHead& head) const {
     if (holds(head.id)) return false;
-    const auto wanted = storage_map::wanted_holders(head.id, head.holders, map_, options_.machine_losses);
+    const auto wanted = storage_map::wanted_holders(head.id, head.holders, map_, options_.survive);
     return std::find(wanted.begin(), wanted.end(), identity_) != wanted.end();
 }
 
@@ -160,11 +160,11 @@
         if (placement.grouped())
             known->second = placement.keeps(program, request.asker);
         else
-            known->second = storage_map::stands_for(program, identity_, map_, options_.machine_losses) ||
-                            storage_map::stands_for(program, request.asker, map_, options_.machine_losses);
+            known->second = storage_map::stands_for(program, identity_, map_, options_.survive) ||
+                            storage_map::stands_for(program, request.asker, map_, options_.survive);
         return known->second;
     };
-    const storage_map::StayingHolders staying(map_, options_.machine_losses);
+    const storage_map::StayingHolders staying(map_, options_.survive);
     const bool own_turns = request.own_turns && request.run == run_;
     const bool by_digest = request.digests && !request.everything;
     const std::int32_t limit = std::clamp<std::int32_t>(request.limit, 1, kMostChanges);
@@ -242,7 +242,7 @@
 }
 
 std::vector<std::int64_t> StorageNode::shared_digests(std::int64_t other, std::size_t ranges) const {
-    const DigestScope scope{identity_, other, map_, options_.machine_losses, options_.steady_ms()};
+    const DigestScope scope{identity_, other, map_, options_.survive, options_.steady_ms()};
     return digests_.of(store_, scope, ranges);
 }
 
--- a/src/storage_plane/storage_service.cpp
+++ b/src/storage_plane/storage_service.cpp
@@ -140,7 +140,7 @@
         StorageNode::Options options =
             member_options(static_cast<std::uint64_t>(std::max<std::int64_t>(settings.disk_mb, 0)),
                            static_cast<std::uint64_t>(std::max<std::int64_t>(settings.memory_mb, 0)));
-        options.machine_losses = settings.tolerated_losses();
+        options.survive = settings.survive();
         options.steady_ms = steady_ms;
         options.time_of_day_ms = time_of_day_ms;
         options.draw = draw;
@@ -152,7 +152,7 @@
 
     static Repair::Options repair_options(const node::Settings& settings) {
         Repair::Options options;
-        options.machine_losses = settings.tolerated_losses();
+        options.survive = settings.survive();
         return options;
     }
 
@@ -160,6 +160,7 @@
         feed::Feed::Options options;
         options.self.node = settings.node;
         options.self.zone = settings.zone;
+        if (const auto region = settings.told_region()) options.self.__set_region(*region);
         options.self.address = settings.rpc_address();
         options.self.role = wire::NodeRole::storage;
         options.self.identity = node_->identity();
--- a/src/storage_plane/turn_begin.cpp
+++ b/src/storage_plane/turn_begin.cpp
@@ -24,7 +24,7 @@
     BeginOperation(TurnQuorum& quorum, const TurnStart& start, double now_ms, double deadline_ms)
         : Operation(quorum, deadline_ms), start_(start), began_ms_(now_ms), chain_(cache(), start.previous) {
         nearest_ = find_nearest();
-        group_ = ledgers().group(start_.program);
+        quorum_ = ledgers().quorum(start_.program);
         if (has_budget()) known_ = ended().find(start_.program);
         chain_cached_ = chain_.complete();
         if (chain_cached_ && !start_.previous.empty()) ++counters().cached_chains;
@@ -40,7 +40,7 @@
         reads_.clear();
         chain_.map_changed();
         nearest_ = find_nearest();
-        group_ = ledgers().group(start_.program);
+        quorum_ = ledgers().quorum(start_.program);
     }
 
     void replied(const Asked& asked, const TurnReply& reply, double now_ms) override {
@@ -99,24 +99,24 @@
     // ---- The budget
 
     // Of the members that keep the program's ledger.
-    std::size_t voters() const { return group_.size(); }
+    const std::set<std::int64_t>& voters() const { return quorum_.voters(); }
     std::size_t votes_of(const std::set<std::int64_t>& identities) const {
-        return static_cast<std::size_t>(std::count_if(
-            group_.begin(), group_.end(), [&](std::int64_t voter) { return identities.count(voter) > 0; }));
+        return static_cast<std::size_t>(
+            std::count_if(voters().begin(), voters().end(),
+                          [&](std::int64_t voter) { return identities.count(voter) > 0; }));
     }
 
     // Joining members are told as well where all keep all ledgers.
     bool keeps_ledger(const wire::StorageMember& member) const {
-        return !ledgers().grouped() || group_.count(member.identity) > 0;
+        return !ledgers().grouped() || voters().count(member.identity) > 0;
     }
 
     Budget budget_verdict(double now_ms) {
         if (!has_budget()) return Budget::holds;
         if (own_entry_ended()) return Budget::in_doubt;
-        const std::size_t granted = votes_of(granted_);
-        if (voters() == 0 || granted < majority()) return Budget::undecided;
+        if (voters().empty() || !decide(granted_)) return Budget::undecided;
         if (!majority_at_ms_) majority_at_ms_ = now_ms;
-        const bool by_all = granted == voters();
+        const bool by_all = votes_of(granted_) == voters().size();
         if (tokens_of_others() + start_.most <= start_.budget)
             return by_all || looked_twice() ? Budget::holds : Budget::undecided;
         const double look_until_ms = *majority_at_ms_ + options().overdraft_look_ms;
@@ -125,22 +125,23 @@
         return Budget::undecided;
     }
 
-    std::size_t majority() const {
-        return options().planted_weak_majority ? (voters() + 1) / 2
-                                               : storage_map::reservation_majority(voters());
+    bool decide(const std::set<std::int64_t>& identities) const {
+        if (options().planted_weak_majority) return votes_of(identities) >= (voters().size() + 1) / 2;
+        return quorum_.is_met_by(identities);
     }
 
     // Of two turns one sees the other, but of three in a ring each may see one only. So a turn looks at a
     // majority once more when a majority holds its reservation, unless all voters hold it: then whichever of
     // several turns had its majority last has seen all others.
-    bool looked_twice() const { return options().planted_single_look || votes_of(looked_) >= majority(); }
+    bool looked_twice() const { return options().planted_single_look || decide(looked_); }
 
     void look_again(double now_ms) {
         if (!majority_at_ms_ || looked_twice()) return;
         const double look_at_ms = *majority_at_ms_ + options().second_look_ms;
         const bool more_may_come =
             std::any_of(map().members.begin(), map().members.end(), [&](const wire::StorageMember& member) {
-                return group_.count(member.identity) && !granted_.count(member.identity) && is_prompt(member);
+                return voters().count(member.identity) && !granted_.count(member.identity) &&
+                       is_prompt(member);
             });
         if (more_may_come && now_ms < look_at_ms) return wake_by(look_at_ms);
         for (const wire::StorageMember& member : map().members) {
@@ -238,7 +239,7 @@
 
     // The chain is asked for at the nearest member along with the reservation.
     bool reads_with_reservation() const {
-        return has_budget() && (!ledgers().grouped() || group_.count(nearest_) > 0);
+        return has_budget() && (!ledgers().grouped() || voters().count(nearest_) > 0);
     }
 
     bool is_asked_with_reservation(std::int64_t identity) const {
@@ -321,7 +322,7 @@
     ChainSearch chain_;
     bool chain_cached_ = false, hedged_ = false, hedge_counted_ = false;
     std::int64_t nearest_ = 0;
-    std::set<std::int64_t> group_;  // voters that keep the program's ledger
+    storage_map::LedgerQuorum quorum_;  // of the voters that keep the program's ledger
     LedgerEntries ledger_;
     std::shared_ptr<const EndedEntries> known_;  // of earlier turns; null: none are known here
     bool told_whole_ = false;                    // by a member that does not hold just what is known
--- a/src/storage_plane/turn_chain.cpp
+++ b/src/storage_plane/turn_chain.cpp
@@ -45,9 +45,9 @@
     here_ = found.complete;
     if (found.complete) return Verdict::here;
     missing_ = found.missing;
-    // Every voter has to say so. All but `machine_losses` would do while each record has all its copies,
-    // but a holder that was replaced leaves fewer until they are repaired, and a false 404 is worse than
-    // many a 503.
+    // Every voter has to say so. All but as many as may be lost would do while each record has all its
+    // copies, but a holder that was replaced leaves fewer until they are repaired, and a false 404 is worse
+    // than many a 503.
     const bool denied_by_all =
         std::all_of(voters.begin(), voters.end(), [this](std::int64_t voter) { return is_denied_by(voter); });
     if (voters.empty() || !denied_by_all) return Verdict::undecided;
--- a/src/storage_plane/turn_client.cpp
+++ b/src/storage_plane/turn_client.cpp
@@ -31,7 +31,7 @@
 TurnQuorumOptions quorum_options(const TurnClient::Options& options) {
     TurnQuorumOptions quorum;
     quorum.zone = options.zone;
-    quorum.machine_losses = options.machine_losses;
+    quorum.survive = options.survive;
     return quorum;
 }
 
--- a/src/storage_plane/turn_client.hpp
+++ b/src/storage_plane/turn_client.hpp
@@ -12,6 +12,7 @@
 #include "control_types.h"  // generated from idl/*.thrift
 #include "rpc/client.hpp"
 #include "storage_types.h"
+#include "failure_domain/loss_tolerance.hpp"
 #include "storage_plane/turn_types.hpp"
 
 namespace whinledge::storage_plane {
@@ -19,9 +20,9 @@
 class TurnClient {
 public:
     struct Options {
-        std::string zone;                     // of this process
-        int machine_losses = 1;               // copies are this many and one, in different zones
-        std::size_t cache_bytes = 24U << 20;  // of recent turns
+        std::string zone;                         // of this process
+        failure_domain::LossTolerance survive{};  // that the copies of a turn have to outlast
+        std::size_t cache_bytes = 24U << 20;      // of recent turns
         // What this process has under way at model servers, to be told with turns, and, where it `asks`, of
         // which servers it wants to know what others have; empty: nothing is told.
         std::function<wire::LoadReport(bool asks)> load{};
--- a/src/storage_plane/turn_end.cpp
+++ b/src/storage_plane/turn_end.cpp
@@ -24,13 +24,13 @@
             ended().add(end_.program, entry_);
         }
         order_ = storage_map::HolderOrder(map(), options().zone, end_.program);
-        group_ = ledgers().group(end_.program);
+        quorum_ = ledgers().quorum(end_.program);
     }
 
     // Copies that stand count on where their holders do; the others are looked for anew.
     void map_changed() override {
         order_ = storage_map::HolderOrder(map(), options().zone, end_.program);
-        group_ = ledgers().group(end_.program);
+        quorum_ = ledgers().quorum(end_.program);
         for (Exchanges* exchanges : {&copies_, &notes_}) {
             for (auto& [identity, exchange] : *exchanges)
                 if (exchange.state == Exchange::State::awaits_map ||
@@ -64,11 +64,13 @@
     }
 
 private:
-    int machine_losses() const { return options().planted_one_copy ? 0 : options().machine_losses; }
+    failure_domain::LossTolerance survive() const {
+        return options().planted_one_copy ? failure_domain::LossTolerance{0, 0, 0} : options().survive;
+    }
 
     void decide(double now_ms) {
         if (told()) return;
-        if (end_.whole ? order_.durable(holders_, machine_losses()) : entry_stands()) {
+        if (end_.whole ? order_.durable(holders_, survive()) : entry_stands()) {
             if (end_.whole) keep();
             return conclude(true);
         }
@@ -82,14 +84,12 @@
 
     bool entry_stands() const {
         if (!has_ledger_) return true;
-        const auto informed = static_cast<std::size_t>(std::count_if(
-            group_.begin(), group_.end(), [this](std::int64_t voter) { return informed_.count(voter) > 0; }));
-        return !group_.empty() && informed >= storage_map::reservation_majority(group_.size());
+        return !quorum_.voters().empty() && quorum_.is_met_by(informed_);
     }
 
     // Joining members are told as well where all keep all ledgers.
     bool keeps_ledger(const wire::StorageMember& member) const {
-        return !ledgers().grouped() || group_.count(member.identity) > 0;
+        return !ledgers().grouped() || quorum_.voters().count(member.identity) > 0;
     }
 
     void keep() {
@@ -109,11 +109,11 @@
         const auto answering = [&](const wire::StorageMember& member) {
             return usable(member) || (!copies_.count(member.identity) && !is_silent(member));
         };
-        auto chosen = order_.complement(holders_, machine_losses(), usable);
-        if (!order_.durable(with(chosen), machine_losses()))
-            chosen = order_.complement(holders_, machine_losses(), answering);
-        if (!order_.durable(with(chosen), machine_losses()))
-            chosen = order_.complement(holders_, machine_losses(), untried);
+        auto chosen = order_.complement(holders_, survive(), usable);
+        if (!order_.durable(with(chosen), survive()))
+            chosen = order_.complement(holders_, survive(), answering);
+        if (!order_.durable(with(chosen), survive()))
+            chosen = order_.complement(holders_, survive(), untried);
         std::vector<std::int64_t> named(holders_.begin(), holders_.end());
         for (const wire::StorageMember* member : chosen) named.push_back(member->identity);
         const bool first = copies_.empty();
@@ -200,10 +200,10 @@
     double give_up_ms_;
     wire::LedgerEntry entry_;  // no turn is named in it where no ledger is kept
     storage_map::HolderOrder order_;
-    std::set<std::int64_t> group_;     // voters that keep the program's ledger
-    Exchanges copies_, notes_;         // writes of the record; of the entry alone
-    std::set<std::int64_t> holders_;   // who have the record synced
-    std::set<std::int64_t> informed_;  // who have the entry
+    storage_map::LedgerQuorum quorum_;  // of the voters that keep the program's ledger
+    Exchanges copies_, notes_;          // writes of the record; of the entry alone
+    std::set<std::int64_t> holders_;    // who have the record synced
+    std::set<std::int64_t> informed_;   // who have the entry
 };
 
 std::unique_ptr<TurnQuorum::Operation> TurnQuorum::end_operation(const TurnEnd& turn, bool has_ledger,
--- a/src/storage_plane/turn_keep.cpp
+++ b/src/storage_plane/turn_keep.cpp
@@ -59,7 +59,7 @@
         std::map<std::int64_t, std::set<std::string>> programs;
         for (const KeptTurn& turn : chain_.turns)
             for (const std::int64_t member :
-                 storage_map::wanted_holders(turn.id, turn.holders, map(), options().machine_losses))
+                 storage_map::wanted_holders(turn.id, turn.holders, map(), options().survive))
                 programs[member].insert(turn.program);
         return programs;
     }
--- a/src/storage_plane/turn_quorum.hpp
+++ b/src/storage_plane/turn_quorum.hpp
@@ -18,6 +18,7 @@
 #include <vector>
 
 #include "control_types.h"  // generated from idl/*.thrift
+#include "failure_domain/loss_tolerance.hpp"
 #include "storage_map/ledger_placement.hpp"
 #include "storage_plane/ended_entries.hpp"
 #include "storage_plane/member_pace.hpp"
@@ -28,8 +29,8 @@
 namespace whinledge::storage_plane {
 
 struct TurnQuorumOptions {
-    std::string zone;        // of this process
-    int machine_losses = 1;  // a whole turn has this many copies and one, in different zones
+    std::string zone;                         // of this process
+    failure_domain::LossTolerance survive{};  // that the copies of a whole turn have to outlast
     double begin_limit_ms =
         1500;  // a turn that can't begin by then is refused, so that its client asks again
     // A call that begins a turn or reads some, and one that ends a turn, is made again without a reply for so
--- a/tests/tier/control_plane/retirement_test.cpp
+++ b/tests/tier/control_plane/retirement_test.cpp
@@ -27,9 +27,9 @@
 
 // All of them are there but `away`.
 RetirementDecision decide(const wire::RegisterState& state, const std::string& node,
-                          const std::string& away = "", std::size_t losses = 1) {
+                          const std::string& away = "", int losses = 1) {
     RetirementNeeds needs;
-    needs.machine_losses = losses;
+    needs.survive.machines = losses;
     for (const wire::StorageMember& one : state.storage.members)
         if (one.node != away) needs.voting.insert(one.identity);
     return decide_retirement(state, node, needs);
@@ -97,6 +97,35 @@
         << "there is one zone only";
 }
 
+wire::StorageMember of_region(const std::string& node, const std::string& zone, const std::string& region) {
+    wire::StorageMember one = member(node, zone);
+    one.__set_region(region);
+    return one;
+}
+
+RetirementDecision decide_for(const wire::RegisterState& state, const std::string& node,
+                              const failure_domain::LossTolerance& survive) {
+    RetirementNeeds needs;
+    needs.survive = survive;
+    for (const wire::StorageMember& one : state.storage.members) needs.voting.insert(one.identity);
+    return decide_retirement(state, node, needs);
+}
+
+// By a count of machines the last one of a zone or region could be taken away.
+TEST(Retirement, ThoseThatRemainBearTheLossOfAZoneOrARegion) {
+    const failure_domain::LossTolerance one_zone{.machines = 0, .zones = 1, .regions = 0};
+    const failure_domain::LossTolerance one_region{.machines = 0, .zones = 0, .regions = 1};
+    const auto zones = with({member("a", "z1"), member("b", "z1"), member("c", "z2"), member("d", "z3")});
+    EXPECT_EQ(decide_for(zones, "a", one_zone), RetirementDecision::begin);
+    EXPECT_EQ(decide_for(zones, "c", one_zone), RetirementDecision::too_few);
+    const auto regions =
+        with({of_region("a", "z1", "w"), of_region("b", "z2", "w"), of_region("c", "z3", "e"),
+              of_region("d", "z4", "e"), of_region("e", "z5", "n")});
+    EXPECT_EQ(decide_for(regions, "a", one_region), RetirementDecision::begin);
+    EXPECT_EQ(decide_for(regions, "e", one_region), RetirementDecision::too_few);
+    EXPECT_EQ(decide_for(regions, "e", {.machines = 1}), RetirementDecision::begin) << "machines alone";
+}
+
 TEST(Retirement, UnknownAndFinished) {
     auto state = with({member("a", "z1"), member("b", "z2"), member("c", "z3")});
     EXPECT_EQ(decide(state, "x"), RetirementDecision::unknown);
--- a/tests/tier/control_plane/storage_map_test.cpp
+++ b/tests/tier/control_plane/storage_map_test.cpp
@@ -18,7 +18,7 @@
 public:
     explicit Timeline(std::size_t copies = 2, std::int32_t ledger_group = 0) {
         StorageMapReconciler::Options options;
-        options.copies = copies;
+        options.survive.machines = static_cast<int>(copies) - 1;
         options.ledger_group = ledger_group;
         reconciler.emplace(options);
         state.sequence = 1;
--- a/tests/tier/node/settings_test.cpp
+++ b/tests/tier/node/settings_test.cpp
@@ -37,7 +37,7 @@
 
 TEST(NodeSettings, LossesOfZonesAskForCopiesAsThoseOfMachinesDo) {
     const auto losses = [](const std::string& lines) {
-        return parse_settings(kEdge + lines, "node.conf").value().tolerated_losses();
+        return parse_settings(kEdge + lines, "node.conf").value().survive().most();
     };
     EXPECT_EQ(losses(""), 0);
     EXPECT_EQ(losses("survive.machineLosses=2\nsurvive.zones=1\n"), 2);
--- a/tests/tier/storage_map/staying_holders_test.cpp
+++ b/tests/tier/storage_map/staying_holders_test.cpp
@@ -23,6 +23,7 @@
         wire::StorageMember member;
         member.identity = i;
         member.zone = std::to_string(pick(random, 4));
+        member.__set_region(std::to_string(std::stoi(member.zone) / 2));
         member.state = pick(random, 4) == 0 ? wire::StorageState::retiring : wire::StorageState::member;
         map.members.push_back(member);
     }
@@ -48,9 +49,11 @@
     for (int round = 0; round < 20'000; ++round) {
         const wire::StorageMap map = some_map(random);
         const int losses = pick(random, 3);
-        const StayingHolders staying(map, losses);
+        const failure_domain::LossTolerance survive{
+            .machines = losses, .zones = 0, .regions = pick(random, 2)};
+        const StayingHolders staying(map, survive);
         const Identities holders = some_holders(random);
-        const Identities wanted = wanted_holders("turn", holders, map, losses);
+        const Identities wanted = wanted_holders("turn", holders, map, survive);
         Identities stay;
         std::copy_if(holders.begin(), holders.end(), std::back_inserter(stay),
                      [&](std::int64_t holder) { return staying.has(holder); });
@@ -61,7 +64,7 @@
         if (!staying.just_enough(holders)) continue;
         ++just_enough;
         EXPECT_EQ(sorted(wanted), sorted(holders)) << round;
-        EXPECT_EQ(holders.size(), static_cast<std::size_t>(losses) + 1) << round;
+        EXPECT_EQ(holders.size(), survive.copies()) << round;
     }
     EXPECT_GT(just_enough, 500);
     EXPECT_GT(enough, just_enough);
--- a/tests/tier/storage_plane/budget_return_test.cpp
+++ b/tests/tier/storage_plane/budget_return_test.cpp
@@ -20,7 +20,7 @@
 class SpentProgram {
 public:
     SpentProgram(std::uint64_t seed, ClusterOptions options) : cluster(seed, options) {
-        edge_ = std::make_shared<ClusterEdge>(cluster, "a", 1, options.machine_losses);
+        edge_ = std::make_shared<ClusterEdge>(cluster, "a", 1, options.survive);
         cluster.on_map = [this](const wire::StorageMap& map) { edge_->set_map(map); };
         cluster.found();
         cluster.time.run_until(1500);
--- a/tests/tier/storage_plane/hard_case.hpp
+++ b/tests/tier/storage_plane/hard_case.hpp
@@ -29,9 +29,7 @@
         cluster.found();
         cluster.time.run_until(800);
     }
-    ClusterEdge& edge(const std::string& zone) {
-        return edge(ClusterEdge::options(zone, options_.machine_losses));
-    }
+    ClusterEdge& edge(const std::string& zone) { return edge(ClusterEdge::options(zone, options_.survive)); }
     ClusterEdge& edge(const TurnQuorumOptions& options) {
         edges_.push_back(std::make_shared<ClusterEdge>(cluster, 1, options));
         edges_.back()->set_map(cluster.map);
--- a/tests/tier/storage_plane/ledger_days_test.cpp
+++ b/tests/tier/storage_plane/ledger_days_test.cpp
@@ -50,7 +50,7 @@
 
 TEST(LedgerDays, TwoLossesAtOnceInGroupsOfSeven) {
     DayOptions options = day_of_groups(10, 7);
-    options.cluster.machine_losses = 2;
+    options.cluster.survive.machines = 2;
     options.faults_at_once = 2;
     EXPECT_WHOLE(play_all(3, 37000, options));
 }
--- a/tests/tier/storage_plane/ledger_spread_test.cpp
+++ b/tests/tier/storage_plane/ledger_spread_test.cpp
@@ -183,14 +183,14 @@
 TEST(LedgerSpread, OfALargeGroupSomeNeedNotBeFollowed) {
     LedgerSpread spread;
     spread.reset(grouped(1, 0xfff, 9));
-    EXPECT_EQ(spread.may_miss(1), 3u);
-    EXPECT_EQ(spread.may_miss(2), 2u);
+    EXPECT_EQ(spread.may_miss({.machines = 1}), 3u);
+    EXPECT_EQ(spread.may_miss({.machines = 2}), 2u);
     spread.reset(grouped(1, 0xfff, 3));
-    EXPECT_EQ(spread.may_miss(1), 0u);
+    EXPECT_EQ(spread.may_miss({.machines = 1}), 0u);
     spread.reset(grouped(1, 0xfff, 0));
-    EXPECT_EQ(spread.may_miss(1), 0u) << "all voters keep all ledgers";
+    EXPECT_EQ(spread.may_miss({.machines = 1}), 0u) << "all voters keep all ledgers";
     spread.follow(grouped(1, 0xfff, 0), grouped(2, 0xfff, 9));
-    EXPECT_EQ(spread.may_miss(1), 0u) << "the size has just changed";
+    EXPECT_EQ(spread.may_miss({.machines = 1}), 0u) << "the size has just changed";
 }
 
 }  // namespace
--- a/tests/tier/storage_plane/ledger_walk_test.cpp
+++ b/tests/tier/storage_plane/ledger_walk_test.cpp
@@ -211,7 +211,7 @@
         const auto [known, added] = judged_.try_emplace(std::pair(member.base, member.learned));
         if (added) {
             const LedgerSpread spread = spread_of(member);
-            known->second.may_miss = spread.may_miss(script_.machine_losses);
+            known->second.may_miss = spread.may_miss({.machines = script_.machine_losses});
             for (int index = 0; index < script_.members; ++index)
                 if (spread.may_vote(kProgram, index + 1)) known->second.votes |= bit(index);
         }
--- a/tests/tier/storage_plane/member_bounds_test.cpp
+++ b/tests/tier/storage_plane/member_bounds_test.cpp
@@ -138,8 +138,7 @@
         std::uint64_t digest = program.entries.empty() ? 0 : ledger_digest(program);
         for (const std::string& id : program.turns) {
             const HeldTurn* held = store.turn(id);
-            const auto wanted =
-                storage_map::wanted_holders(id, held->holders, scope.map, scope.machine_losses);
+            const auto wanted = storage_map::wanted_holders(id, held->holders, scope.map, scope.survive);
             const bool both = std::count(wanted.begin(), wanted.end(), scope.self) > 0 &&
                               std::count(wanted.begin(), wanted.end(), scope.other) > 0;
             if (both) digest += held->id_hash | 1;
@@ -182,7 +181,7 @@
             store.keep(record.program, 0, kept_ms(60) - 10000, 60, 0);
         }
         for (int pair = 0; pair < 10; ++pair) {
-            const DigestScope scope{10 + pick(9), 10 + pick(9), map, 1 + pick(2), 1000};
+            const DigestScope scope{10 + pick(9), 10 + pick(9), map, {.machines = 1 + pick(2)}, 1000};
             ASSERT_EQ(SharedDigests(0).of(store, scope, 4), plain_digests(store, scope, 4))
                 << "round " << round;
         }
@@ -211,8 +210,8 @@
     keep(own, shared);
     keep(own, elsewhere);
     keep(others, shared);
-    const DigestScope from_own{10, 11, map, 1, 1000};
-    const DigestScope from_others{11, 10, map, 1, 1000};
+    const DigestScope from_own{10, 11, map, {.machines = 1}, 1000};
+    const DigestScope from_others{11, 10, map, {.machines = 1}, 1000};
     EXPECT_EQ(SharedDigests(0).of(own, from_own, 16), SharedDigests(0).of(others, from_others, 16));
 
     own.add_entry(elsewhere.program, entry_of(elsewhere, 5), {1, 0, 100});
@@ -268,7 +267,7 @@
             if (store.program(record.program) && pick(3) == 0)
                 store.keep(record.program, now_ms, kept_ms(20) - 6000, 20, 0);
             store.expire(now_ms);
-            const DigestScope scope{10, 10 + pick(12), map, 1, now_ms};
+            const DigestScope scope{10, 10 + pick(12), map, {.machines = 1}, now_ms};
             ASSERT_EQ(remembering.of(store, scope, 4), SharedDigests(0).of(store, scope, 4)) << step;
         }
     }
@@ -288,7 +287,7 @@
     SharedDigests remembering;
     const std::size_t before = allocated_bytes();
     for (int other = 11; other < 15; ++other)
-        static_cast<void>(remembering.of(store, DigestScope{10, other, map, 1, 1000}, 256));
+        static_cast<void>(remembering.of(store, DigestScope{10, other, map, {.machines = 1}, 1000}, 256));
     constexpr std::size_t kSummaryBytes = 300;
     EXPECT_LT(allocated_bytes() - before, SharedDigests::kMostSummaries * kSummaryBytes);
     std::size_t kept = 0;
--- a/tests/tier/storage_plane/slow_members_test.cpp
+++ b/tests/tier/storage_plane/slow_members_test.cpp
@@ -34,7 +34,7 @@
     HardCase test(7, of.cluster);
     test.found();
     for (const std::size_t machine : of.slow) test.machine(machine).slow_ms = of.slow_ms / 2;
-    TurnQuorumOptions options = ClusterEdge::options("a", of.cluster.machine_losses);
+    TurnQuorumOptions options = ClusterEdge::options("a", of.cluster.survive);
     options.prefers_fast_members = of.prefers_fast;
     ClusterEdge& edge = test.edge(options);
     Pace measured;
@@ -91,7 +91,7 @@
 TEST(SlowMembers, TwoOfNineDoNotSetThePaceOfTurns) {
     ClusterOptions nine;
     nine.machines = 9;
-    nine.machine_losses = 2;
+    nine.survive.machines = 2;
     nine.ledger_group = 5;
     for (const double slow_ms : {60.0, 300.0, 900.0}) {
         pace({{0, 4}, slow_ms, false, nine});
--- a/tests/tier/storage_plane/storage_cluster.hpp
+++ b/tests/tier/storage_plane/storage_cluster.hpp
@@ -51,7 +51,7 @@
 
 // A machine with a disk, and the process on it while it is up.
 struct Machine {
-    std::string node, zone, address;
+    std::string node, zone, region, address;
     SimulatedDisk disk;
     std::unique_ptr<PeerCalls> peers;
     std::unique_ptr<StorageNode> process;
@@ -72,14 +72,15 @@
 
 struct ClusterOptions {
     int machines = 4;
-    int machine_losses = 1;
+    failure_domain::LossTolerance survive{};
     std::size_t cache_bytes = 1U << 16;
     std::uint64_t segment_bytes = 16U << 10;
     std::uint64_t disk_bytes = 64U << 20;
     std::size_t most_items = 400'000;
-    double late_share = 0;  // of messages that take up to four seconds
-    int zones = 26;         // over which the machines are spread in turn
-    int ledger_group = 0;   // voters that keep a program's ledger; 0: all
+    double late_share = 0;                           // of messages that take up to four seconds
+    int zones = 26;                                  // over which the machines are spread in turn
+    std::vector<failure_domain::Location> places{};  // of the machines, in place of zones in turn
+    int ledger_group = 0;                            // voters that keep a program's ledger; 0: all
     SnapshotWriter::Options snapshots{};
     double link_bytes_per_ms = 0;  // of replies that a machine sends, one after the other; 0: no bound
     RepairPace::Options repair_pace{};
@@ -125,11 +126,12 @@
     }
     int pick(int low, int high) { return std::uniform_int_distribution<int>(low, high)(random); }
 
-    Machine& add(const std::string& zone) {
+    Machine& add(const std::string& zone, const std::string& region = "") {
         auto machine = std::make_unique<Machine>();
         machine->node = std::string("storage-").append(std::to_string(machines.size()));
         machine->address = machine->node;
         machine->zone = zone;
+        machine->region = region;
         machine->disk.planted_no_sync = planted_no_sync;
         machines.push_back(std::move(machine));
         start(*machines.back());
@@ -138,7 +140,9 @@
 
     // All machines, and the first map with them as members.
     void found() {
-        for (int i = 0; i < options_.machines; ++i) add(zone(i));
+        if (options_.places.empty())
+            for (int i = 0; i < options_.machines; ++i) add(zone(i));
+        for (const failure_domain::Location& place : options_.places) add(place.zone, place.region);
         map.epoch = 1;
         map.ledger_group = options_.ledger_group;
         for (const auto& machine : machines)
@@ -155,7 +159,7 @@
         const std::uint64_t life = machine.life;
         machine.peers = std::make_unique<Peers>(*this, machine, life);
         StorageNode::Options options;
-        options.machine_losses = options_.machine_losses;
+        options.survive = options_.survive;
         options.cache_bytes = options_.cache_bytes;
         options.segment_bytes = options_.segment_bytes;
         options.disk_bytes = options_.disk_bytes;
@@ -182,7 +186,7 @@
         machine.process = std::move(node.value());
         machine.identity = machine.process->identity();
         Repair::Options repair;
-        repair.machine_losses = options_.machine_losses;
+        repair.survive = options_.survive;
         machine.repair = std::make_unique<Repair>(*machine.process, *machine.peers, repair);
         machine.up = true;
         step(machine, life);
@@ -218,7 +222,7 @@
     // The same, where the control plane takes the order.
     bool order_retirement(const Machine& machine) {
         control_plane::RetirementNeeds needs;
-        needs.machine_losses = static_cast<std::size_t>(options_.machine_losses);
+        needs.survive = options_.survive;
         for (const control_plane::Heard& heard :
              membership_.of_role(wire::NodeRole::storage, instant(), control_plane::Span(3000)))
             if (heard.votes()) needs.voting.insert(heard.info.identity);
@@ -462,6 +466,7 @@
         member.identity = machine.identity;
         member.node = machine.node;
         member.zone = machine.zone;
+        if (!machine.region.empty()) member.__set_region(machine.region);
         member.address = machine.address;
         member.state = state;
         return member;
@@ -478,6 +483,7 @@
         watch.who.identity = machine.identity;
         watch.who.node = machine.node;
         watch.who.zone = machine.zone;
+        if (!machine.region.empty()) watch.who.__set_region(machine.region);
         watch.who.address = machine.address;
         watch.who.role = wire::NodeRole::storage;
         watch.storage_note = machine.repair->note();
@@ -497,7 +503,7 @@
 
     control_plane::StorageMapReconciler new_reconciler() const {
         control_plane::StorageMapReconciler::Options options;
-        options.copies = static_cast<std::size_t>(options_.machine_losses) + 1;
+        options.survive = options_.survive;
         options.ledger_group = options_.ledger_group;
         return control_plane::StorageMapReconciler(options);
     }
@@ -538,8 +544,12 @@
 // An edge process whose calls go to the cluster's machines.
 class ClusterEdge : public std::enable_shared_from_this<ClusterEdge> {
 public:
+    ClusterEdge(Cluster& cluster, std::string zone, std::size_t cache_bytes,
+                failure_domain::LossTolerance survive)
+        : ClusterEdge(cluster, cache_bytes, options(std::move(zone), survive)) {}
     ClusterEdge(Cluster& cluster, std::string zone, std::size_t cache_bytes, int machine_losses)
-        : ClusterEdge(cluster, cache_bytes, options(std::move(zone), machine_losses)) {}
+        : ClusterEdge(cluster, std::move(zone), cache_bytes,
+                      failure_domain::LossTolerance{.machines = machine_losses}) {}
     ClusterEdge(Cluster& cluster, std::size_t cache_bytes, TurnQuorumOptions quorum)
         : cluster_(cluster), zone_(quorum.zone), cache_(cache_bytes), quorum_(std::move(quorum), cache_) {}
 
@@ -570,10 +580,10 @@
     }
     std::int64_t epoch() const { return quorum_.map().epoch; }
 
-    static TurnQuorumOptions options(std::string zone, int machine_losses) {
+    static TurnQuorumOptions options(std::string zone, failure_domain::LossTolerance survive) {
         TurnQuorumOptions options;
         options.zone = std::move(zone);
-        options.machine_losses = machine_losses;
+        options.survive = survive;
         return options;
     }
 
--- a/tests/tier/storage_plane/storage_day.hpp
+++ b/tests/tier/storage_plane/storage_day.hpp
@@ -133,8 +133,8 @@
     }
 
     std::shared_ptr<ClusterEdge> new_edge(int index) {
-        TurnQuorumOptions quorum = ClusterEdge::options(std::string(1, static_cast<char>('a' + index)),
-                                                        options_.cluster.machine_losses);
+        TurnQuorumOptions quorum =
+            ClusterEdge::options(std::string(1, static_cast<char>('a' + index)), options_.cluster.survive);
         options_.plant(quorum);
         return std::make_shared<ClusterEdge>(cluster_, index < 2 ? 1 : 1U << 20, std::move(quorum));
     }
@@ -407,7 +407,7 @@
         check_digests();
         for (const auto& machine : cluster_.machines)
             if (machine->up) result_.conflicts += machine->process->counts().conflicts;
-        const std::size_t copies = static_cast<std::size_t>(options_.cluster.machine_losses) + 1;
+        const std::size_t copies = options_.cluster.survive.copies();
         int unread = 0;
         for (Program& program : programs_) {
             for (const std::string& id : program.acknowledged) {
--- a/tests/tier/storage_plane/storage_days_test.cpp
+++ b/tests/tier/storage_plane/storage_days_test.cpp
@@ -90,7 +90,7 @@
 TEST(StorageDays, FiveMachinesSurviveTwoLosses) {
     DayOptions options;
     options.cluster.machines = 5;
-    options.cluster.machine_losses = 2;
+    options.cluster.survive.machines = 2;
     options.faults_at_once = 2;
     const DayResult result = play_all(12, 11000, options);
     EXPECT_WHOLE(result);
--- a/tests/tier/storage_plane/storage_hard_cases_test.cpp
+++ b/tests/tier/storage_plane/storage_hard_cases_test.cpp
@@ -142,7 +142,7 @@
 
 TEST(StorageHardCases, TwoOfThreeCopiesRestartInTurn) {
     for (int seed = 1; seed <= 20; ++seed) {
-        HardCase test(static_cast<std::uint64_t>(seed), {.machines = 5, .machine_losses = 2});
+        HardCase test(static_cast<std::uint64_t>(seed), {.machines = 5, .survive = {.machines = 2}});
         test.found();
         ClusterEdge& edge = test.edge("a");
         ASSERT_TRUE(test.ended(edge, test.whole_turn("parent")));
@@ -164,7 +164,7 @@
 // Of five voters a reservation may stand at three; the disks of two of these are lost at once, and the one
 // that is left is slow to tell the others. Whether the budget is granted once more.
 bool granted_past_lost_disks(std::uint64_t seed, const LedgerSpread::Planted& planted) {
-    HardCase test(seed, {.machines = 5, .machine_losses = 2});
+    HardCase test(seed, {.machines = 5, .survive = {.machines = 2}});
     test.cluster.planted_ledgers = planted;
     test.found();
     ClusterEdge& first = test.edge("c");
--- a/tests/tier/storage_plane/storage_map_losses_test.cpp
+++ b/tests/tier/storage_plane/storage_map_losses_test.cpp
@@ -56,7 +56,7 @@
     static ClusterOptions cluster_options(const SeriesOptions& options) {
         ClusterOptions cluster;
         cluster.machines = options.members;
-        cluster.machine_losses = options.machine_losses;
+        cluster.survive.machines = options.machine_losses;
         cluster.zones = options.zones;
         return cluster;
     }
--- a/tests/tier/storage_plane/turn_parts_test.cpp
+++ b/tests/tier/storage_plane/turn_parts_test.cpp
@@ -72,7 +72,7 @@
     for (int program = 0; program < 50; ++program) {
         const storage_map::HolderOrder order(map, "b",
                                              std::string("program-").append(std::to_string(program)));
-        const auto chosen = zones_of(order.complement({}, 2, kAnyone));
+        const auto chosen = zones_of(order.complement({}, {.machines = 2}, kAnyone));
         ASSERT_EQ(chosen.size(), 3u);
         EXPECT_EQ(chosen[0], "b");
         EXPECT_EQ(std::set<std::string>(chosen.begin(), chosen.end()).size(), 3u);
@@ -85,7 +85,7 @@
     for (int program = 0; program < 1000; ++program) {
         const storage_map::HolderOrder order(map, "a",
                                              std::string("program-").append(std::to_string(program)));
-        ++seconds[order.complement({}, 1, kAnyone)[1]->identity];
+        ++seconds[order.complement({}, {.machines = 1}, kAnyone)[1]->identity];
     }
     ASSERT_EQ(seconds.size(), 4u);
     for (const auto& [identity, count] : seconds) EXPECT_GT(count, 150) << identity;
@@ -94,9 +94,9 @@
 TEST(HolderOrder, FewerZonesThanCopies) {
     const wire::StorageMap map = map_of({"a", "a", "a"});
     const storage_map::HolderOrder order(map, "a", "program");
-    EXPECT_EQ(order.complement({}, 1, kAnyone).size(), 2u);
-    EXPECT_FALSE(order.durable({100}, 1));
-    EXPECT_TRUE(order.durable({100, 102}, 1));
+    EXPECT_EQ(order.complement({}, {.machines = 1}, kAnyone).size(), 2u);
+    EXPECT_FALSE(order.durable({100}, {.machines = 1}));
+    EXPECT_TRUE(order.durable({100, 102}, {.machines = 1}));
 }
 
 // One copy's zone that is out of reach is no reason to put both into one.
@@ -104,9 +104,9 @@
     const wire::StorageMap map = map_of({"a", "a", "b"});
     const storage_map::HolderOrder order(map, "a", "program");
     const auto not_b = [](const wire::StorageMember& member) { return member.zone != "b"; };
-    EXPECT_EQ(order.complement({}, 1, not_b).size(), 1u);
-    EXPECT_FALSE(order.durable({100, 101}, 1));
-    EXPECT_TRUE(order.durable({100, 102}, 1));
+    EXPECT_EQ(order.complement({}, {.machines = 1}, not_b).size(), 1u);
+    EXPECT_FALSE(order.durable({100, 101}, {.machines = 1}));
+    EXPECT_TRUE(order.durable({100, 102}, {.machines = 1}));
 }
 
 TEST(HolderOrder, MembersThatJoinOrRetireHoldNothingNew) {
@@ -114,8 +114,8 @@
     map.members[0].state = wire::StorageState::retiring;
     map.members[1].state = wire::StorageState::joining;
     const storage_map::HolderOrder order(map, "a", "program");
-    EXPECT_EQ(zones_of(order.complement({}, 1, kAnyone)), std::vector<std::string>{"c"});
-    EXPECT_FALSE(order.durable({100, 102}, 1));
+    EXPECT_EQ(zones_of(order.complement({}, {.machines = 1}, kAnyone)), std::vector<std::string>{"c"});
+    EXPECT_FALSE(order.durable({100, 102}, {.machines = 1}));
 }
 
 wire::LedgerEntry entry(wire::EntryState::type state, std::int64_t tokens) {
--- a/tests/tier/storage_plane/turn_timeline.hpp
+++ b/tests/tier/storage_plane/turn_timeline.hpp
@@ -99,7 +99,7 @@
         };
         TurnQuorumOptions options;
         options.zone = "a";
-        options.machine_losses = machine_losses;
+        options.survive.machines = machine_losses;
         edge_ = std::make_shared<Edge>(time_, network_, "edge", options);
         publish(next_map({"A", "B", "C"}));
     }
