Control: acceptors are chosen so that the zones or regions of survive leave a majority

Cause: each control process that was there became an acceptor, up to seven, and a zone counted as one machine: two of four acceptors are no majority, and only a majority could have changed them.

Mend: where zones or regions may be lost, of the disks that are there those become acceptors of which any such loss leaves a majority (acceptor_spread: the largest set that bears it); a silent one keeps its place while its zone may come back with its disks, unless another bears the loss now, or a machine that came after it fell silent succeeds it. So seeds of one zone give way as soon as other zones are there, and a zone that joins later is counted on.

Reconfiguration.* (machines alone) passes unchanged but for the field's name.

--- a/src/consensus/control_peers.cpp
+++ b/src/consensus/control_peers.cpp
@@ -60,6 +60,7 @@
     if (who.address.empty() || who.address == replica_.self().address) return;
     if (who.identity == 0) return hear_of_no_disk(who);
     Peer& peer = peers_[who.address];
+    if (peer.info.identity != who.identity) peer.first_heard_at = replica_.host().now();
     peer.info = who;
     peer.founder = founder;
     peer.heard_at = replica_.host().now();
@@ -168,11 +169,11 @@
 
 std::vector<HeardAcceptor> ControlPeers::heard(std::optional<Millis> asked_at) const {
     const Millis now = replica_.host().now();
-    std::vector<HeardAcceptor> all{{acceptor_of(replica_.self()), now, true}};
+    std::vector<HeardAcceptor> all{{acceptor_of(replica_.self()), now, 0, true}};
     for (const auto& [address, peer] : peers_) {
         if (peer.info.identity == 0) continue;
         const bool present = asked_at ? peer.confirmed_at >= *asked_at : now - peer.heard_at <= kPresent;
-        all.push_back({acceptor_of(peer.info), peer.heard_at, present});
+        all.push_back({acceptor_of(peer.info), peer.heard_at, peer.first_heard_at, present});
     }
     return all;
 }
--- a/src/consensus/control_peers.hpp
+++ b/src/consensus/control_peers.hpp
@@ -48,10 +48,11 @@
         wire::NodeInfo info;  // identity 0: it has not been heard of
         bool founder = false;
         Millis heard_at = kNever;
-        Millis diskless_at = kNever;   // it last told that its disk takes nothing
-        Millis confirmed_at = kNever;  // when the last request was sent that it has answered
-        Millis shared_at = kNever;     // when the last request was sent
-        Millis wanted_at = kNever;     // it was last named by somebody
+        Millis first_heard_at = kNever;  // with this identity
+        Millis diskless_at = kNever;     // it last told that its disk takes nothing
+        Millis confirmed_at = kNever;    // when the last request was sent that it has answered
+        Millis shared_at = kNever;       // when the last request was sent
+        Millis wanted_at = kNever;       // it was last named by somebody
     };
     void want(const std::string& address);
     void hear_request(const wire::NodeInfo& who, bool founder);
--- a/src/consensus/reconfiguration.cpp
+++ b/src/consensus/reconfiguration.cpp
@@ -4,6 +4,9 @@
 #include <map>
 #include <set>
 #include <string>
+#include <utility>
+
+#include "consensus/acceptor_spread.hpp"
 
 namespace whinledge::consensus {
 
@@ -81,7 +84,7 @@
 // How many of the absent ones, the longest silence first, are left out beside `next`.
 std::size_t left_out(const Acceptors& next, std::size_t there, const std::vector<Absent>& absent,
                      const ReconfigurationLimits& limits) {
-    const std::size_t enough = std::min(2 * limits.machine_losses + 1, kMostAcceptors);
+    const std::size_t enough = std::min(2 * limits.survive.machine_losses() + 1, kMostAcceptors);
     const auto may_go = [&](std::size_t count) { return next.size() + absent.size() - count >= enough; };
     std::size_t best = 0;
     while (best < absent.size() && may_go(best + 1) &&
@@ -95,24 +98,79 @@
     return best;
 }
 
-}  // namespace
-
-std::optional<Acceptors> next_acceptors(const Acceptors& current, const std::vector<HeardAcceptor>& heard,
-                                        Millis now, const ReconfigurationLimits& limits) {
-    const Sorted sorted = sort_by_presence(current, heard, now, limits);
-    Acceptors next = sorted.staying;
-    std::size_t there = sorted.there;
+std::vector<wire::Acceptor> spares_of(const Acceptors& current, const std::vector<HeardAcceptor>& heard,
+                                      const Acceptors& chosen) {
     std::vector<wire::Acceptor> spares;
     for (const HeardAcceptor& one : heard)
         if (one.present && find_acceptor(current, one.acceptor.identity) == nullptr)
             spares.push_back(one.acceptor);
-    for (const wire::Acceptor& spare : spread_over_zones(spares, next)) {
+    return spread_over_zones(std::move(spares), chosen);
+}
+
+// A set for the losses of machines alone.
+Acceptors all_that_are_there(const Sorted& sorted, const std::vector<wire::Acceptor>& spares,
+                             const ReconfigurationLimits& limits) {
+    Acceptors next = sorted.staying;
+    std::size_t there = sorted.there;
+    for (const wire::Acceptor& spare : spares) {
         if (next.size() >= kMostAcceptors) break;
         next.push_back(spare);
         ++there;
     }
     for (std::size_t kept = left_out(next, there, sorted.absent, limits); kept < sorted.absent.size(); ++kept)
         next.push_back(sorted.absent[kept].acceptor);
+    return next;
+}
+
+bool is_there(const std::vector<HeardAcceptor>& heard, const wire::Acceptor& acceptor) {
+    const HeardAcceptor* const one = find_heard(heard, acceptor.identity);
+    return one != nullptr && one->present;
+}
+
+// Spares that came after the absent one had fallen silent take its place wherever they stand; of the others
+// none does that in another zone, as the absent one may come back.
+std::size_t successors_of_absent(const std::vector<wire::Acceptor>& spares,
+                                 const std::vector<HeardAcceptor>& heard, Millis silent_since) {
+    return static_cast<std::size_t>(
+        std::count_if(spares.begin(), spares.end(), [&](const wire::Acceptor& spare) {
+            const HeardAcceptor* const one = find_heard(heard, spare.identity);
+            return one != nullptr && one->first_heard_at > silent_since;
+        }));
+}
+
+// A set for the losses of zones or regions.
+Acceptors those_that_bear_losses(const Sorted& sorted, const std::vector<wire::Acceptor>& spares,
+                                 const std::vector<HeardAcceptor>& heard, Millis now,
+                                 const ReconfigurationLimits& limits) {
+    using Presence = AcceptorCandidate::Presence;
+    std::vector<AcceptorCandidate> candidates;
+    for (const wire::Acceptor& acceptor : sorted.staying)
+        if (is_there(heard, acceptor)) candidates.push_back({acceptor, Presence::there});
+    for (const wire::Acceptor& acceptor : sorted.staying)
+        if (!is_there(heard, acceptor)) candidates.push_back({acceptor, Presence::may_be_back});
+    for (const wire::Acceptor& spare : spares) candidates.push_back({spare, Presence::there});
+    std::size_t replaced = 0;
+    for (const Absent& one : sorted.absent) {
+        const Millis silent_since = now - one.silence + limits.silent;
+        if (successors_of_absent(spares, heard, silent_since) > replaced)
+            ++replaced;
+        else
+            candidates.push_back({one.acceptor, Presence::silent});
+    }
+    return choose_acceptors(candidates, limits.survive);
+}
+
+}  // namespace
+
+std::optional<Acceptors> next_acceptors(const Acceptors& current, const std::vector<HeardAcceptor>& heard,
+                                        Millis now, const ReconfigurationLimits& limits) {
+    const Sorted sorted = sort_by_presence(current, heard, now, limits);
+    const std::vector<wire::Acceptor> spares = spares_of(current, heard, sorted.staying);
+    Acceptors next = limits.survive.names_domains()
+                         ? those_that_bear_losses(sorted, spares, heard, now, limits)
+                         : all_that_are_there(sorted, spares, limits);
+    const auto there = static_cast<std::size_t>(std::count_if(
+        next.begin(), next.end(), [&](const wire::Acceptor& acceptor) { return is_there(heard, acceptor); }));
 
     std::sort(next.begin(), next.end(), by_identity);
     Acceptors same = current;
--- a/src/consensus/register_service.cpp
+++ b/src/consensus/register_service.cpp
@@ -26,7 +26,8 @@
     core.self.identity = store.identity();
     core.founder = store.founder();
     core.seeds = options.seeds;
-    core.reconfiguration.machine_losses = std::max<std::size_t>(options.survive.most(), 1);
+    core.reconfiguration.survive = options.survive;
+    core.reconfiguration.survive.machines = std::max(options.survive.machines, 1);
     return core;
 }
 
--- a/tests/tier/consensus/reconfiguration_test.cpp
+++ b/tests/tier/consensus/reconfiguration_test.cpp
@@ -31,7 +31,7 @@
 }
 
 // `heard`: "a b:3000 c:900?": b was heard 3 s ago, and c, which did not answer when it was asked, 900 ms.
-std::string next(const std::string& current, const std::string& heard, std::size_t losses = 1,
+std::string next(const std::string& current, const std::string& heard, int losses = 1,
                  Millis watching_since = 0) {
     Acceptors acceptors;
     for (const std::string& name : words(current)) acceptors.push_back(disk(name));
@@ -40,10 +40,10 @@
         const std::size_t colon = word.find(':');
         const Millis age = colon == std::string::npos ? 0 : std::stoll(word.substr(colon + 1));
         const bool answered = age <= 2000 && !word.ends_with('?');
-        all.push_back({disk(word.substr(0, colon)), kNow - age, answered});
+        all.push_back({disk(word.substr(0, colon)), kNow - age, 0, answered});
     }
     ReconfigurationLimits limits;
-    limits.machine_losses = losses;
+    limits.survive.machines = losses;
     limits.watching_since = watching_since;
     const auto result = next_acceptors(acceptors, all, kNow, limits);
     if (!result) return "stay";
--- a/tests/tier/consensus/simulation.cpp
+++ b/tests/tier/consensus/simulation.cpp
@@ -161,6 +161,10 @@
     RegisterCore::Options options;
     options.self.node = where.address;
     options.self.zone = "zone-" + where.address;
+    if (!places.empty()) {
+        options.self.zone = places[machine].zone;
+        options.self.__set_region(places[machine].region);
+    }
     options.self.address = where.address;
     options.self.role = wire::NodeRole::control;
     options.self.started_ms = -++starts_;  // times of day step back: nothing may depend on them
--- a/tests/tier/consensus/simulation.hpp
+++ b/tests/tier/consensus/simulation.hpp
@@ -94,7 +94,8 @@
     void silence_acceptor(std::size_t machine) { silent_acceptors_.insert(machine); }
     void heal();
     Network network;
-    ReconfigurationLimits reconfiguration;  // of processes that start from now on
+    ReconfigurationLimits reconfiguration;         // of processes that start from now on
+    std::vector<failure_domain::Location> places;  // of the machines; none: each is a zone
 
     // A majority of the newest acceptors have their disks, and of those that a seal under way names. Looked
     // at from above.
--- a/tests/tier/control_plane/hard_case.hpp
+++ b/tests/tier/control_plane/hard_case.hpp
@@ -3,9 +3,11 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "../consensus/simulation.hpp"
 #include "control_plane/settings_order.hpp"
@@ -20,6 +22,9 @@
 inline constexpr std::size_t kA = 0, kB = 1, kC = 2, kD = 3, kE = 4;
 inline constexpr Millis kFounded = 2000;
 inline constexpr Millis kCallTimeout = 700;  // of an operator's call
+// The operators' bound: an order is confirmed within `guarantees.confirmMs` of a call that reaches a core
+// with a majority.
+inline constexpr Millis kConfirm = 4000;
 
 class HardCase : public testing::Test {
 protected:
@@ -71,6 +76,29 @@
             });
         return order;
     }
+    // An order that is sent to each of these in turn until it is acknowledged.
+    bool confirmed(const std::vector<std::size_t>& asked) {
+        const std::int64_t version = version_ + 1;
+        const std::string body = body_ + std::to_string(version) + ",";
+        const Millis limit = world->now() + kConfirm;
+        for (std::size_t turn = 0; world->now() < limit; ++turn) {
+            const std::size_t machine = asked[turn % asked.size()];
+            if (!world->up(machine)) {
+                run(50);
+                continue;
+            }
+            const auto order = replace(machine, version_, version, body);
+            const Millis end = std::min(limit, world->now() + 1000);
+            while (!order->result && world->now() < end) run(10);
+            EXPECT_FALSE(order->refused()) << "an order that may be taken";
+            if (!order->acknowledged()) continue;
+            version_ = version;
+            body_ = body;
+            return true;
+        }
+        return false;
+    }
+
     // At each process that is up, once all is well.
     void expect_everywhere(std::int64_t version) {
         for (std::size_t m = 0; m < world->machines(); ++m) {
@@ -83,6 +111,8 @@
     }
 
     std::unique_ptr<Simulation> world;
+    std::int64_t version_ = 0;  // of the newest order that was confirmed
+    std::string body_;
 };
 
 class CoreOfFour : public HardCase {
--- a/tests/tier/control_plane/loss_upon_loss_test.cpp
+++ b/tests/tier/control_plane/loss_upon_loss_test.cpp
@@ -10,9 +10,8 @@
 namespace whinledge::control_plane::test {
 namespace {
 
-// The operators' bounds: `guarantees.syncS` after a successor's start another machine may be lost, and an
-// order is confirmed within `guarantees.confirmMs` of a call that reaches a core with a majority.
-constexpr Millis kSync = 4100, kConfirm = 4000;
+// The operators' bound: `guarantees.syncS` after a successor's start another machine may be lost.
+constexpr Millis kSync = 4100;
 constexpr Millis kSettled = 8000;
 
 class LossUponLoss : public HardCase {
@@ -30,28 +29,6 @@
         ASSERT_TRUE(confirmed({kA}));
     }
 
-    // An order that is sent to each of these in turn until it is acknowledged.
-    bool confirmed(const std::vector<std::size_t>& asked) {
-        const std::int64_t version = version_ + 1;
-        const std::string body = body_ + std::to_string(version) + ",";
-        const Millis limit = world->now() + kConfirm;
-        for (std::size_t turn = 0; world->now() < limit; ++turn) {
-            const std::size_t machine = asked[turn % asked.size()];
-            if (!world->up(machine)) {
-                run(50);
-                continue;
-            }
-            const auto order = replace(machine, version_, version, body);
-            const Millis end = std::min(limit, world->now() + 1000);
-            while (!order->result && world->now() < end) run(10);
-            EXPECT_FALSE(order->refused()) << "an order that may be taken";
-            if (!order->acknowledged()) continue;
-            version_ = version;
-            body_ = body;
-            return true;
-        }
-        return false;
-    }
     std::vector<std::size_t> others_than(std::size_t first, std::size_t second) {
         std::vector<std::size_t> others;
         for (std::size_t m = 0; m < world->machines(); ++m)
@@ -76,8 +53,6 @@
     }
 
     consensus::ReconfigurationLimits limits;
-    std::int64_t version_ = 0;
-    std::string body_;
 };
 
 TEST_F(LossUponLoss, ASuccessorsTimeIsEnoughForTheNextLoss) {
@@ -116,7 +91,7 @@
 // Two may be lost at once, and are, twice.
 TEST_F(LossUponLoss, TwoSuccessorsTimeIsEnoughForTheNextTwoLosses) {
     constexpr std::size_t kSize = 5, kF = 5, kG = 6;
-    limits.machine_losses = 2;
+    limits.survive.machines = 2;
     for (std::uint64_t seed = 1; seed <= 20; ++seed) {
         core(kSize, seed, 2);
         if (HasFatalFailure()) return;
