Turns: none is denied while a storage machine is away that may hold it

Cause: the map drops members that have been silent for 8 s, one each 4.5 s, and nothing remembered that they may come back. Who was dropped was no voter any more, all voters that were left denied the turns, and that counted as certain.

Mend: a member that leaves because it is silent stays in the map's list of those that are away (StorageMap.away) until it votes again, another disk is in its place, or all that it may hold has expired: the longest keepForS of the configurations taken, which the register keeps, and 10 s, counted anew where control starts again. While somebody is away a turn that nobody has is 503, told as soon as all who can be asked have answered. Which members are dropped, and when, is as before.

--- a/idl/control.thrift
+++ b/idl/control.thrift
@@ -45,11 +45,20 @@
   3: i32 regions = 0;
 }
 
+/** A storage disk that left the map while it was silent: it may come back with all that it held. */
+struct AwayStorage {
+  1: i64 identity = 0;
+  2: string node;
+  3: string address;
+  4: i32 keep_for_s = 0;   // it may hold turns that have to be kept for so long
+}
+
 struct StorageMap {
   1: i64 epoch = 0;                     // rises with each change
   2: list<StorageMember> members;
   3: i32 ledger_group = 0;              // voters that keep a program's ledger; 0, or no more voters: all of them
   4: optional LossTolerance survive;    // by which ledgers are decided; absent: machines alone may be lost
+  5: optional list<AwayStorage> away;   // absent: none
 }
 
 /** How far a rollout is; it only moves forward. */
@@ -84,6 +93,7 @@
   6: list<string> retired;              // nodes of storage that were emptied and may be removed
   7: list<i64> removed_storage;         // identities that are members no more, newest last, bounded
   8: list<Rollout> rollouts;            // by service, the newest of each
+  9: optional i32 longest_keep_for_s;   // of all configurations taken, for turns; absent: an earlier build's
 }
 
 // ---- What processes learn from control ---------------------------------------------------------------------
--- a/src/control_plane/operator_api.cpp
+++ b/src/control_plane/operator_api.cpp
@@ -169,7 +169,11 @@
     if (!configuration) return respond(fault(400, configuration.error().message));
     const auto based_on = whole_number(request.based_on.value_or(""));
     if (!based_on) return respond(fault(400, "`Based-On` must be the version that the order builds on"));
-    SettingsOrder order{*based_on, configuration.value()->version, digest_of(request.body), {}};
+    SettingsOrder order{*based_on,
+                        configuration.value()->version,
+                        digest_of(request.body),
+                        {},
+                        configuration.value()->longest_keep_for_s()};
     order.body = std::move(request.body);
     const auto attempt = std::make_shared<OrderAttempt>(std::move(order));
     register_.change([attempt](const wire::RegisterState& current) { return attempt->apply(current); },
--- a/src/control_plane/settings_order.cpp
+++ b/src/control_plane/settings_order.cpp
@@ -5,6 +5,8 @@
 
 #include <algorithm>
 
+#include "serving/configuration.hpp"
+
 namespace whinledge::control_plane {
 
 std::int64_t digest_of(std::string_view body) {
@@ -26,8 +28,16 @@
     return OrderDecision::take;
 }
 
+int longest_keep_for_s(const wire::RegisterState& state) {
+    if (state.__isset.longest_keep_for_s) return state.longest_keep_for_s;
+    if (state.version == 0) return 0;
+    const auto configuration = serving::parse_configuration(state.configuration);
+    return configuration ? configuration.value()->longest_keep_for_s() : 0;
+}
+
 wire::RegisterState taken(const wire::RegisterState& current, const SettingsOrder& order) {
     wire::RegisterState next = current;
+    next.__set_longest_keep_for_s(std::max(longest_keep_for_s(current), order.keep_for_s));
     next.version = order.version;
     next.configuration = order.body;
     wire::TakenChange change;
--- a/src/control_plane/settings_order.hpp
+++ b/src/control_plane/settings_order.hpp
@@ -16,8 +16,12 @@
     std::int64_t version = 0;
     std::int64_t digest = 0;  // of the body
     std::string body;
+    int keep_for_s = 0;  // the longest of its routes, for turns
 };
 
+// The longest time for which a configuration that was taken keeps turns, in seconds.
+int longest_keep_for_s(const wire::RegisterState& state);
+
 std::int64_t digest_of(std::string_view body);
 
 enum class OrderDecision {
--- a/src/control_plane/storage_map_reconciler.cpp
+++ b/src/control_plane/storage_map_reconciler.cpp
@@ -6,6 +6,8 @@
 #include <string>
 #include <utility>
 
+#include "control_plane/settings_order.hpp"
+
 namespace whinledge::control_plane {
 namespace {
 
@@ -70,7 +72,14 @@
         std::erase(state.retired, info.node);
         changed = true;
     }
-    void remove(std::int64_t identity) {
+    // Why a member leaves the map.
+    enum class Departure {
+        silent,     // it may come back with its disk
+        disk_lost,  // another disk is in its place
+        emptied,
+    };
+    void remove(std::int64_t identity, Departure why) {
+        if (why == Departure::silent) remember_away(identity);
         voters_changed |= std::any_of(members().begin(), members().end(), [&](const StorageMember& member) {
             return member.identity == identity && member.state != StorageState::joining;
         });
@@ -79,11 +88,39 @@
         changed = true;
     }
 
+    template <class Matches>
+    void forget_away(const Matches& matches) {
+        std::vector<wire::AwayStorage> away = state.storage.away;
+        std::erase_if(away, matches);
+        if (away.size() != state.storage.away.size()) set_away(std::move(away));
+    }
+
     wire::RegisterState state;
     const std::vector<Heard>& storages;
     Instant now;
     bool changed = false;
     bool voters_changed = false;  // one left
+
+private:
+    void remember_away(std::int64_t identity) {
+        std::vector<wire::AwayStorage> away = state.storage.away;
+        std::erase_if(away, [&](const wire::AwayStorage& one) { return one.identity == identity; });
+        const int keep_for_s = longest_keep_for_s(state);
+        for (const StorageMember& member : members()) {
+            if (member.identity != identity || keep_for_s == 0) continue;
+            wire::AwayStorage& one = away.emplace_back();
+            one.identity = identity;
+            one.node = member.node;
+            one.address = member.address;
+            one.keep_for_s = keep_for_s;
+        }
+        set_away(std::move(away));
+    }
+    void set_away(std::vector<wire::AwayStorage> away) {
+        state.storage.__isset.away = !away.empty();
+        state.storage.away = std::move(away);
+        changed = true;
+    }
 };
 
 void StorageMapReconciler::observe(const wire::RegisterState& state, const std::vector<Heard>& storages,
@@ -99,6 +136,7 @@
             same ? before->second : Since{member.state, state.sequence, now, member.node};
     }
     note_departures(state, since, now);
+    note_away(state, now);
     since_ = std::move(since);
     for (const auto& [identity, member] : since_)
         if (member.state == StorageState::retiring) retiring_nodes_.insert(member.node);
@@ -176,6 +214,24 @@
     }
 }
 
+void StorageMapReconciler::note_away(const wire::RegisterState& state, Instant now) {
+    std::map<std::int64_t, Instant> since;
+    for (const wire::AwayStorage& away : state.storage.away) {
+        const auto before = away_since_.find(away.identity);
+        since[away.identity] = before == away_since_.end() ? now : before->second;
+    }
+    away_since_ = std::move(since);
+}
+
+// All that they may hold has expired.
+void StorageMapReconciler::forget_away(Draft& draft) const {
+    draft.forget_away([&](const wire::AwayStorage& away) {
+        const auto since = away_since_.find(away.identity);
+        const Span kept = std::chrono::seconds(away.keep_for_s) + options_.away_longer;
+        return since != away_since_.end() && draft.now - since->second > kept;
+    });
+}
+
 // Each voter has said once, under the present voters, that it holds all that it should. Not all at the same
 // moment: of many some are always about to pull a turn that was just written.
 bool StorageMapReconciler::is_made_good(const std::vector<Heard>& storages) {
@@ -293,6 +349,8 @@
         if (member.state == StorageState::joining && storage->storage_note == kSyncedNote) {
             member.state = StorageState::member;
             draft.changed = true;
+            draft.forget_away(
+                [&](const wire::AwayStorage& away) { return away.identity == member.identity; });
         }
         if (member.state == StorageState::retiring && storage->storage_note == kEmptiedNote)
             emptied = storage;
@@ -303,7 +361,7 @@
     if (more_will_stay && !bear_losses(now.staying)) return;
     now.there.erase(emptied->info.identity);
     if (!quorums_keep_one(voters_.quorum_of_voters(), now.there)) return;
-    draft.remove(emptied->info.identity);
+    draft.remove(emptied->info.identity, Draft::Departure::emptied);
     remember(draft.state.retired, emptied->info.node);
 }
 
@@ -374,7 +432,7 @@
     for (const StorageMember& member : draft.members()) {
         if (member.state != StorageState::joining) continue;
         if (draft.now - last_heard(draft, member) <= options_.replaced) continue;
-        draft.remove(member.identity);
+        draft.remove(member.identity, Draft::Departure::silent);
         return true;
     }
     return false;
@@ -387,7 +445,7 @@
     const StorageMember silent = *now.longest_silent;
     const bool enough_there = bear_losses(now.there);
     if (enough_there && (now.some_unfilled || !now.joining.empty())) {
-        draft.remove(silent.identity);
+        draft.remove(silent.identity, Draft::Departure::silent);
         return true;
     }
     if (now.joining.empty()) return false;
@@ -395,9 +453,10 @@
                                         [&](const StorageMember* one) { return one->zone == silent.zone; });
     const std::int64_t successor =
         (same_zone == now.joining.end() ? now.joining.front() : *same_zone)->identity;
-    draft.remove(silent.identity);
+    draft.remove(silent.identity, Draft::Departure::silent);
     for (StorageMember& member : draft.members())
         if (member.identity == successor) member.state = StorageState::member;
+    draft.forget_away([&](const wire::AwayStorage& away) { return away.identity == successor; });
     return true;
 }
 
@@ -424,8 +483,8 @@
     const bool plenty = heard >= options_.survive.copies() + 1;
     const bool helps = tolerance(heard, heard) > tolerance(members, heard) &&
                        tolerance(members, heard) < static_cast<int>(options_.survive.most());
-    if (gone && (plenty || helps)) draft.remove(*gone);
-    if (!gone && replaced && helps) draft.remove(*replaced);
+    if (gone && (plenty || helps)) draft.remove(*gone, Draft::Departure::silent);
+    if (!gone && replaced && helps) draft.remove(*replaced, Draft::Departure::silent);
 }
 
 // Of members that joined before regions mattered.
@@ -469,7 +528,11 @@
             contains(current.removed_storage, info.identity) && contains(current.retired, info.node);
         if (emptied) continue;
         for (const std::int64_t identity : replaced_by(storage, draft.members(), storages))
-            draft.remove(identity);
+            draft.remove(identity, Draft::Departure::disk_lost);
+        draft.forget_away([&](const wire::AwayStorage& away) {
+            const bool same_place = away.node == info.node || away.address == info.address;
+            return same_place && away.identity != info.identity;
+        });
         draft.add(info, StorageState::joining);
     }
 
@@ -480,6 +543,7 @@
         if (!draft.changed) place_ledgers(draft);
         if (!draft.changed) update_regions(draft);
     }
+    if (!draft.changed) forget_away(draft);
     if (!draft.changed) return std::nullopt;
     ++draft.state.storage.epoch;
     return std::move(draft.state);
--- a/src/control_plane/storage_map_reconciler.hpp
+++ b/src/control_plane/storage_map_reconciler.hpp
@@ -11,6 +11,10 @@
 // becomes a voter in the same epoch, so that there are never fewer voters than bear a loss. Either way the
 // joining member need not wait for what the silent one would have told it.
 //
+// A voter or joining member that leaves because it is silent may hold turns that nobody else has. It stays in
+// the map's list of those that are away until it votes again, its disk is known to be gone, or all that it
+// may hold has expired; meanwhile no turn is denied.
+//
 // Pure: it is given the register's state, who was heard, and the time; it answers with the state that is
 // wanted.
 #pragma once
@@ -34,7 +38,7 @@
 class StorageMapReconciler {
 public:
     struct Options {
-        failure_domain::LossTolerance survive;
+        failure_domain::LossTolerance survive{};
         std::int32_t ledger_group = 0;  // voters that keep a program's ledger; 0: all
         Span present{2200};             // heard within: it is there
         Span gone{8000};                // unheard for so long: it may be dropped
@@ -44,6 +48,7 @@
         Span founding_quiet{400};       // nobody new for so long: all are there
         Span founding_longest{1500};    // since the first was heard
         Span blind{2000};               // without observe() for so long, silence of others says nothing
+        Span away_longer{10'000};       // than turns are kept, until one that is away can't hold any
     };
     explicit StorageMapReconciler(Options options) : options_(options) {}
 
@@ -70,6 +75,8 @@
     failure_domain::Spread spread_of(const std::set<std::int64_t>& identities) const;
     void note_locations(const wire::RegisterState& state);
     void update_regions(Draft& draft) const;
+    void note_away(const wire::RegisterState& state, Instant now);
+    void forget_away(Draft& draft) const;
     bool majority_knows(const wire::RegisterState& current, const std::vector<Heard>& storages) const;
     void count_progress(Draft& draft) const;
     Instant last_heard(const Draft& draft, const wire::StorageMember& member) const;
@@ -88,7 +95,8 @@
     bool found(Draft& draft) const;
 
     Options options_;
-    std::map<std::int64_t, Since> since_;  // by identity, of the map's members
+    std::map<std::int64_t, Since> since_;         // by identity, of the map's members
+    std::map<std::int64_t, Instant> away_since_;  // at the latest; by identity
     Instant observed_{}, sighted_{}, dropped_{};
     std::int64_t map_epoch_ = 0;           // of the newest map observed
     storage_map::LedgerPlacement voters_;  // of that map
--- a/src/serving/configuration.cpp
+++ b/src/serving/configuration.cpp
@@ -264,6 +264,14 @@
     }
 }
 
+int Configuration::longest_keep_for_s() const {
+    double longest = 0;
+    for (const Route& route : routes)
+        if (route.remembered) longest = std::max(longest, std::ceil(route.keep_for_s));
+    constexpr double kMost = 1e9;
+    return static_cast<int>(std::min(longest, kMost));
+}
+
 const Service* Configuration::service(std::string_view name) const {
     const auto found = std::lower_bound(
         services_.begin(), services_.end(), name,
--- a/src/serving/configuration.hpp
+++ b/src/serving/configuration.hpp
@@ -80,6 +80,8 @@
     // The route of a request: of those of the host, the longest prefix that begins the path. Null: none.
     const Route* find(std::string_view host, std::string_view path) const;
     const Service* service(std::string_view name) const;
+    // Seconds, rounded up, of the route that keeps its turns longest; 0: none keeps any.
+    int longest_keep_for_s() const;
 
     // Of what find() needs; called by parse().
     void index();
--- a/src/storage_plane/turn_begin.cpp
+++ b/src/storage_plane/turn_begin.cpp
@@ -26,6 +26,7 @@
         nearest_ = find_nearest();
         quorum_ = ledgers().quorum(start_.program);
         if (has_budget()) known_ = ended().find(start_.program);
+        members_ = members_of_map();
         chain_cached_ = chain_.complete();
         if (chain_cached_ && !start_.previous.empty()) ++counters().cached_chains;
     }
@@ -39,6 +40,7 @@
         majority_at_ms_.reset();
         reads_.clear();
         chain_.map_changed();
+        members_ = members_of_map();
         nearest_ = find_nearest();
         quorum_ = ledgers().quorum(start_.program);
     }
@@ -63,10 +65,11 @@
 
     void step(double now_ms) override {
         const Budget budget = budget_verdict(now_ms);
-        const ChainSearch::Verdict chain = chain_.verdict(voter_identities());
+        const ChainSearch::Verdict chain = chain_.verdict(members_);
         if (budget == Budget::spent) return finish({BeginStatus::budget_spent, {}});
-        if (budget == Budget::in_doubt || chain == ChainSearch::Verdict::broken)
-            return finish({BeginStatus::unavailable, {}});
+        const bool chain_unavailable =
+            chain == ChainSearch::Verdict::broken || chain == ChainSearch::Verdict::unsure;
+        if (budget == Budget::in_doubt || chain_unavailable) return finish({BeginStatus::unavailable, {}});
         if (chain == ChainSearch::Verdict::absent) return finish({BeginStatus::no_such_turn, {}});
         if (budget == Budget::holds && chain == ChainSearch::Verdict::here) return go_on();
         if (now_ms >= deadline_ms()) return finish({BeginStatus::unavailable, {}});
@@ -200,16 +203,20 @@
 
     // ---- The chain
 
-    std::set<std::int64_t> voter_identities() const {
-        std::set<std::int64_t> identities;
-        for (const wire::StorageMember& member : map().members)
-            if (storage_map::votes(member)) identities.insert(member.identity);
-        return identities;
+    ChainSearch::Members members_of_map() const {
+        ChainSearch::Members members;
+        for (const wire::AwayStorage& away : map().away) members.away.insert(away.identity);
+        for (const wire::StorageMember& member : map().members) {
+            if (storage_map::votes(member)) members.voters.insert(member.identity);
+            if (members.away.count(member.identity)) members.returning.insert(member.identity);
+        }
+        return members;
     }
 
     void learn(const Asked& asked, std::optional<StorageStatus::type> status,
                const std::vector<wire::TurnRecord>& chain) {
         chain_.learn(chain);
+        if (asked.epoch == map().epoch) chain_.note_answer(asked.member, asked.id);
         if (asked.id.empty() || status != StorageStatus::ok || asked.epoch != map().epoch) return;
         if (chain_.learn_end(asked.member, asked.id, chain)) hedged_ = true;
     }
@@ -320,6 +327,7 @@
     TurnStart start_;
     double began_ms_;
     ChainSearch chain_;
+    ChainSearch::Members members_;
     bool chain_cached_ = false, hedged_ = false, hedge_counted_ = false;
     std::int64_t nearest_ = 0;
     storage_map::LedgerQuorum quorum_;  // of the voters that keep the program's ledger
--- a/src/storage_plane/turn_chain.cpp
+++ b/src/storage_plane/turn_chain.cpp
@@ -38,7 +38,7 @@
     return record;
 }
 
-ChainSearch::Verdict ChainSearch::verdict(const std::set<std::int64_t>& voters) {
+ChainSearch::Verdict ChainSearch::verdict(const Members& members) {
     if (here_) return Verdict::here;
     const Found found = find();
     if (found.broken) return Verdict::broken;
@@ -48,9 +48,15 @@
     // Every voter has to say so. All but as many as may be lost would do while each record has all its
     // copies, but a holder that was replaced leaves fewer until they are repaired, and a false 404 is worse
     // than many a 503.
-    const bool denied_by_all =
-        std::all_of(voters.begin(), voters.end(), [this](std::int64_t voter) { return is_denied_by(voter); });
-    if (voters.empty() || !denied_by_all) return Verdict::undecided;
+    const bool denied_by_all = std::all_of(members.voters.begin(), members.voters.end(),
+                                           [this](std::int64_t voter) { return is_denied_by(voter); });
+    if (members.voters.empty() || !denied_by_all) return Verdict::undecided;
+    if (!members.away.empty()) {
+        const std::set<std::int64_t>& answered = answered_[missing_];
+        const bool all_answered = std::includes(answered.begin(), answered.end(), members.returning.begin(),
+                                                members.returning.end());
+        return all_answered ? Verdict::unsure : Verdict::undecided;
+    }
     // Its child is there, so it was: this is loss or expiry, and no reason to deny the turn.
     return missing_ == previous_ ? Verdict::absent : Verdict::broken;
 }
--- a/src/storage_plane/turn_chain.hpp
+++ b/src/storage_plane/turn_chain.hpp
@@ -21,6 +21,7 @@
         undecided,
         here,
         absent,  // no member has `previous`: for certain
+        unsure,  // nobody who can be asked has it, and somebody who is away may have it
         broken,  // parents run in a circle, or an earlier turn is gone though its child is there
     };
 
@@ -29,14 +30,24 @@
     // All of it lies in the cache.
     bool complete() { return find().complete; }
     // Denials count within one map; records stay.
-    void map_changed() { denials_.clear(); }
+    void map_changed() {
+        denials_.clear();
+        answered_.clear();
+    }
     void learn(const std::vector<wire::TurnRecord>& chain);
     // A member that can't have forgotten has answered for `id` with `chain`: it holds no turn beyond the last
     // that it sent. True: it lacks one.
     bool learn_end(std::int64_t member, const std::string& id, const std::vector<wire::TurnRecord>& chain);
 
-    // `voters`: identities that may deny a turn, under the present map.
-    Verdict verdict(const std::set<std::int64_t>& voters);
+    // Identities, under the present map.
+    struct Members {
+        std::set<std::int64_t> voters;     // may deny a turn
+        std::set<std::int64_t> away;       // may hold turns that no voter has
+        std::set<std::int64_t> returning;  // of those that are away: they can be asked
+    };
+    Verdict verdict(const Members& members);
+    // A member has answered for `id`, whatever its answer is worth.
+    void note_answer(std::int64_t member, const std::string& id) { answered_[id].insert(member); }
     // The newest turn of the chain that is not known, as of the latest verdict.
     const std::string& missing() const { return missing_; }
     bool is_denied_by(std::int64_t identity) const;
@@ -60,6 +71,8 @@
     std::map<std::string, SharedRecord> learned_;
     // Who have said, under the present map, that they lack a turn.
     std::map<std::string, std::set<std::int64_t>> denials_;
+    // Who have answered for a turn, under the present map.
+    std::map<std::string, std::set<std::int64_t>> answered_;
 };
 
 }  // namespace whinledge::storage_plane
--- a/tests/tier/control_plane/settings_order_test.cpp
+++ b/tests/tier/control_plane/settings_order_test.cpp
@@ -30,6 +30,28 @@
     EXPECT_EQ(next.taken[0].based_on, 5);
 }
 
+// A machine that is away may hold turns of an earlier configuration.
+TEST(SettingsOrder, TheLongestTimeThatTurnsAreKeptIsRemembered) {
+    SettingsOrder longer = order(5, 9), shorter = order(9, 10);
+    longer.keep_for_s = 90;
+    shorter.keep_for_s = 20;
+    const wire::RegisterState next = taken(at_version(5), longer);
+    EXPECT_EQ(longest_keep_for_s(next), 90);
+    EXPECT_EQ(longest_keep_for_s(taken(next, shorter)), 90);
+}
+
+// An earlier build took the configuration, and did not say how long it keeps turns.
+TEST(SettingsOrder, HowLongTurnsAreKeptIsReadFromTheConfigurationWhereNobodyHasSaid) {
+    wire::RegisterState state = at_version(5);
+    state.configuration =
+        R"({"version":5,"routes":[{"name":"r","host":"h","pathStart":"/a/","kind":"streaming","timeoutMs":6000,)"
+        R"("targetMs":200,"priority":1,"service":"s","tries":2,"remembered":true,"keepForS":59.5}],)"
+        R"("services":[{"name":"s","healthPath":"/health","maxConns":10}],"limits":{"headerBytes":16384,)"
+        R"("bodyBytes":4194304,"headerMs":3000,"idleMs":15000}})";
+    EXPECT_EQ(longest_keep_for_s(state), 60);
+    EXPECT_EQ(longest_keep_for_s(taken(state, order(5, 9))), 60);
+}
+
 TEST(SettingsOrder, OfTwoOnOneVersionTheSecondLoses) {
     const wire::RegisterState next = taken(at_version(5), order(5, 9));
     EXPECT_EQ(decide(next, order(5, 10, "other")), OrderDecision::other_version);
--- a/tests/tier/control_plane/storage_map_test.cpp
+++ b/tests/tier/control_plane/storage_map_test.cpp
@@ -16,13 +16,26 @@
 // Storage processes that watch each 500 ms, and a holder of the lease that reconciles each 150 ms.
 class Timeline {
 public:
-    explicit Timeline(std::size_t copies = 2, std::int32_t ledger_group = 0) {
-        StorageMapReconciler::Options options;
-        options.survive.machines = static_cast<int>(copies) - 1;
-        options.ledger_group = ledger_group;
-        reconciler.emplace(options);
+    explicit Timeline(std::size_t copies = 2, std::int32_t ledger_group = 0)
+        : Timeline(failure_domain::LossTolerance{.machines = static_cast<int>(copies) - 1}, ledger_group) {}
+    explicit Timeline(const failure_domain::LossTolerance& survive, std::int32_t ledger_group = 0) {
+        options_.survive = survive;
+        options_.ledger_group = ledger_group;
+        reconciler.emplace(options_);
         state.sequence = 1;
     }
+    // Another process holds the lease, and has just started.
+    void restart_control() {
+        membership = Membership();
+        reconciler.emplace(options_);
+    }
+    // Who has been dropped and may come back: "node:identity ...".
+    std::string away() const {
+        std::string text;
+        for (const wire::AwayStorage& one : state.storage.away)
+            text += (text.empty() ? "" : " ") + one.node + ":" + std::to_string(one.identity);
+        return text;
+    }
 
     void up(const std::string& node, std::int64_t identity, const std::string& address = "") {
         Process& process = processes[node];
@@ -105,6 +118,7 @@
         return std::string(kind).append(std::to_string(member.identity));
     }
     std::map<std::string, Process> processes;
+    StorageMapReconciler::Options options_;
 };
 
 class StorageMap : public ::testing::Test {
@@ -145,6 +159,56 @@
               "3600: a=1 b=2 c=3 d=4\n");
 }
 
+// Turns that only it holds were denied as soon as the map had dropped it (review/8).
+TEST_F(StorageMap, OneThatIsDroppedIsRememberedUntilItVotesAgain) {
+    day.state.__set_longest_keep_for_s(60);
+    found(day, 5);
+    day.down("b");
+    day.run(12'000);
+    ASSERT_EQ(day.state.storage.members.size(), 4u);
+    EXPECT_EQ(day.away(), "b:2");
+    day.restart_control();
+    day.run(5000);
+    EXPECT_EQ(day.away(), "b:2") << "all control processes have started again";
+    day.up("b", 2);
+    day.run(2000);
+    EXPECT_EQ(day.away(), "b:2") << "it joins, and does not vote yet";
+    day.note("b", kSyncedNote);
+    day.run(1000);
+    EXPECT_EQ(day.state.storage.members.size(), 5u);
+    EXPECT_EQ(day.away(), "");
+    EXPECT_FALSE(day.state.storage.__isset.away);
+}
+
+TEST_F(StorageMap, OneThatIsDroppedIsForgottenWithItsDiskOrWhatItHeld) {
+    day.state.__set_longest_keep_for_s(60);
+    found(day, 5);
+    day.down("b");
+    day.run(12'000);
+    ASSERT_EQ(day.away(), "b:2");
+    day.up("b", 22);
+    day.run(1000);
+    EXPECT_EQ(day.away(), "") << "another disk is in its place";
+    day.note("b", kSyncedNote);
+    day.run(2000);
+    day.down("c");
+    day.run(12'000);
+    ASSERT_EQ(day.away(), "c:3");
+    day.run(50'000);
+    EXPECT_EQ(day.away(), "c:3");
+    day.run(20'000);
+    EXPECT_EQ(day.away(), "") << "all that it held has expired";
+}
+
+TEST_F(StorageMap, TellsWhatHasToBeBorneWhereThatIsMoreThanMachines) {
+    found(day, 3);
+    EXPECT_FALSE(day.state.storage.__isset.survive) << "machines alone";
+    Timeline zones(failure_domain::LossTolerance{.machines = 0, .zones = 1, .regions = 0});
+    found(zones, 3);
+    ASSERT_TRUE(zones.state.storage.__isset.survive);
+    EXPECT_EQ(zones.state.storage.survive.zones, 1);
+}
+
 TEST_F(StorageMap, WipedDiskIsReplacedAtOnce) {
     found(day, 3);
     day.down("b");
--- a/tests/tier/storage_plane/storage_cluster.hpp
+++ b/tests/tier/storage_plane/storage_cluster.hpp
@@ -84,6 +84,7 @@
     SnapshotWriter::Options snapshots{};
     double link_bytes_per_ms = 0;  // of replies that a machine sends, one after the other; 0: no bound
     RepairPace::Options repair_pace{};
+    int keep_for_s = 60;  // of the operator's configuration
 };
 
 class Cluster {
@@ -145,6 +146,7 @@
         for (const failure_domain::Location& place : options_.places) add(place.zone, place.region);
         map.epoch = 1;
         map.ledger_group = options_.ledger_group;
+        state.__set_longest_keep_for_s(options_.keep_for_s);
         for (const auto& machine : machines)
             map.members.push_back(described(*machine, wire::StorageState::member));
         changed_map();
