Control: the operator is told which losses of survive are not borne as the machines stand

Two zones can't bear the loss of one, nor a replacement in a zone that is there already the loss of that zone. What can't be kept is now in `unborneLosses` of the status page, with its remedy, and in the log when it changes; the page of replicas names the members that are away.

--- a/src/control_plane/control_process.cpp
+++ b/src/control_plane/control_process.cpp
@@ -14,6 +14,7 @@
 
 #include "control_plane/json_text.hpp"
 #include "control_plane/rollout_order.hpp"
+#include "control_plane/unborne_losses.hpp"
 #include "feed/watch.hpp"
 #include "io/address.hpp"
 #include "io/loop_watch.hpp"
@@ -170,6 +171,7 @@
           options.ledger_group = storage_map::ledger_group_size(settings.survive().most());
           return options;
       }()),
+      survive_(settings.survive()),
       openings_(io, client_, server_,
                 OpeningsService::Options{static_cast<std::uint64_t>(draw_identity()),
                                          [this] { return other_controls(); }}),
@@ -233,6 +235,7 @@
         say_hello();
         register_.set_present(present_controls());
         reconcile_overlay();
+        tell_unborne_losses();
     }
     leases_.tick();
     reconciler_.observe(register_.known(), membership_.storages(), at);
@@ -333,6 +336,18 @@
         });
 }
 
+std::vector<std::string> ControlProcess::unborne_losses() const {
+    return control_plane::unborne_losses(survive_, register_.acceptors(), register_.known().storage);
+}
+
+void ControlProcess::tell_unborne_losses() {
+    std::vector<std::string> unborne = unborne_losses();
+    if (unborne == told_unborne_losses_) return;
+    for (const std::string& loss : unborne) LOG(WARNING) << "not borne as the machines stand: " << loss;
+    if (unborne.empty()) LOG(INFO) << "all losses that `survive` names are borne";
+    told_unborne_losses_ = std::move(unborne);
+}
+
 std::optional<std::size_t> ControlProcess::live_proxies() {
     const std::size_t watched_at_once =
         overlay_.running() ? feed::kMostChannelsBesideRelay : feed::kMostChannels;
@@ -493,7 +508,14 @@
         row.update(progress_fields(heard == storages.end() ? nullptr : &heard->second, at));
         members.push_back(std::move(row));
     }
-    return json_text({{"epoch", state.storage.epoch}, {"members", members}, {"retired", state.retired}});
+    Json away = Json::array();
+    for (const wire::AwayStorage& one : state.storage.away)
+        away.push_back({{"node", one.node},
+                        {"address", one.address},
+                        {"identity", one.identity},
+                        {"keepForS", one.keep_for_s}});
+    return json_text(
+        {{"epoch", state.storage.epoch}, {"members", members}, {"away", away}, {"retired", state.retired}});
 }
 
 std::string ControlProcess::openings_page() {
@@ -515,6 +537,7 @@
         {{"node", self_.node},
          {"sequence", state.sequence},
          {"version", state.version},
+         {"unborneLosses", unborne_losses()},
          {"storageEpoch", state.storage.epoch},
          {"list", {{"term", list.term}, {"sequence", list.sequence}, {"alive", list_reader_.alive()}}},
          {"watchers", watches_.waiting()},
--- a/src/control_plane/control_process.hpp
+++ b/src/control_plane/control_process.hpp
@@ -23,6 +23,7 @@
 #include "control_plane/servers_list_reader.hpp"
 #include "control_plane/storage_map_reconciler.hpp"
 #include "control_plane/watch_service.hpp"
+#include "failure_domain/loss_tolerance.hpp"
 #include "io/loop_timer.hpp"
 #include "node/settings.hpp"
 #include "overlay/overlay_service.hpp"
@@ -71,6 +72,8 @@
     std::string overlay_page() const;
     std::string list_page() const;
     nlohmann::json acceptors() const;
+    std::vector<std::string> unborne_losses() const;
+    void tell_unborne_losses();
     std::string replicas_page() const;
     std::string openings_page();
     std::string status_page() const;
@@ -89,6 +92,8 @@
     WatchService watches_;
     overlay::OverlayService overlay_;
     StorageMapReconciler reconciler_;
+    failure_domain::LossTolerance survive_;
+    std::vector<std::string> told_unborne_losses_;
     OpeningsService openings_;
     RolloutService rollouts_;
     OperatorApi api_;
