--- a/src/consensus/acceptor_spread.cpp
+++ b/src/consensus/acceptor_spread.cpp
@@ -1,9 +1,9 @@
 #include "consensus/acceptor_spread.hpp"
 
 #include <algorithm>
-#include <compare>
 #include <cstddef>
 #include <optional>
+#include <tuple>
 
 #include "consensus/reconfiguration.hpp"
 #include "failure_domain/spread.hpp"
@@ -42,7 +42,6 @@
     return choice;
 }
 
-// Better choices are greater.
 struct Worth {
     bool majority_there = false;
     bool bears_next_loss = false;
@@ -50,7 +49,12 @@
     std::ptrdiff_t machine_losses = 0;  // that may follow
     std::size_t size = 0;
 
-    auto operator<=>(const Worth& other) const = default;
+    bool is_better_than(const Worth& other) const { return ranked() > other.ranked(); }
+
+private:
+    std::tuple<bool, bool, bool, std::ptrdiff_t, std::size_t> ranked() const {
+        return {majority_there, bears_next_loss, bears_loss_when_all_are_there, machine_losses, size};
+    }
 };
 
 Worth worth_of(const Choice& choice, const LossTolerance& survive) {
@@ -74,7 +78,7 @@
     const auto try_within = [&](const Bounds& bounds) {
         Choice choice = choose_within(candidates, bounds);
         const Worth worth = worth_of(choice, survive);
-        if (best_worth && !(worth > *best_worth)) return;
+        if (best_worth && !worth.is_better_than(*best_worth)) return;
         best_worth = worth;
         best = std::move(choice.acceptors);
     };
