--- a/tests/tier/consensus/acceptor_spread_test.cpp
+++ b/tests/tier/consensus/acceptor_spread_test.cpp
@@ -10,10 +10,13 @@
 
 #include "consensus/reconfiguration.hpp"
 #include "failure_domain/spread.hpp"
+#include "words.hpp"
 
 namespace whinledge::consensus {
 namespace {
 
+using test::words;
+
 using failure_domain::LossTolerance;
 
 constexpr LossTolerance kOneZone{.machines = 1, .zones = 1, .regions = 0};
@@ -30,16 +33,6 @@
     return acceptor;
 }
 
-std::vector<std::string> words(const std::string& line) {
-    std::vector<std::string> result;
-    for (std::size_t at = 0; at < line.size();) {
-        const std::size_t end = std::min(line.find(' ', at), line.size());
-        result.push_back(line.substr(at, end - at));
-        at = end + 1;
-    }
-    return result;
-}
-
 std::string text_of(Acceptors acceptors) {
     std::sort(acceptors.begin(), acceptors.end(),
               [](const auto& a, const auto& b) { return a.identity < b.identity; });
@@ -121,6 +114,13 @@
     EXPECT_EQ(next("b1 b2 c1", "a1 b1 b2 c1"), "a1 b1 c1") << "and gives it back";
 }
 
+TEST(AcceptorSpread, WhereMachinesAloneMayBeLostAllThatAreThereAreAcceptors) {
+    constexpr LossTolerance one_machine{.machines = 1, .zones = 0, .regions = 0};
+    EXPECT_EQ(next("a1 b1 c1", "a1 a2 b1 c1", one_machine), "a1 a2 b1 c1");
+    EXPECT_EQ(next("a1 a2 a3", "a1 a2 a3 b1 c1", one_machine), "a1 a2 a3 b1 c1");
+    EXPECT_EQ(next("a1 b1 c1", "a1:9000 b1 b2 c1", one_machine), "b1 b2 c1");
+}
+
 bool bears(const Acceptors& acceptors, const LossTolerance& survive) {
     failure_domain::Spread spread;
     for (const wire::Acceptor& acceptor : acceptors) spread.add(failure_domain::location_of(acceptor));
--- a/tests/tier/consensus/reconfiguration_test.cpp
+++ b/tests/tier/consensus/reconfiguration_test.cpp
@@ -6,9 +6,13 @@
 
 #include <cctype>
 
+#include "words.hpp"
+
 namespace whinledge::consensus {
 namespace {
 
+using test::words;
+
 constexpr Millis kNow = 100'000;
 
 // "a" at address a; "a2" is the disk that came there after a wipe.
@@ -20,16 +24,6 @@
     return acceptor;
 }
 
-std::vector<std::string> words(const std::string& line) {
-    std::vector<std::string> result;
-    for (std::size_t at = 0; at < line.size();) {
-        const std::size_t end = std::min(line.find(' ', at), line.size());
-        result.push_back(line.substr(at, end - at));
-        at = end + 1;
-    }
-    return result;
-}
-
 // `heard`: "a b:3000 c:900?": b was heard 3 s ago, and c, which did not answer when it was asked, 900 ms.
 std::string next(const std::string& current, const std::string& heard, int losses = 1,
                  Millis watching_since = 0) {
