Turns: none is denied before the members that join have answered

It was asked, but not waited for: where all voters denied the turn ahead of its answer, the turn got 404. Now the answers of joining members count before a turn is denied; one that is silent means 503, until it is dropped and counts as away.

--- a/src/storage_plane/turn_begin.cpp
+++ b/src/storage_plane/turn_begin.cpp
@@ -207,8 +207,8 @@
         ChainSearch::Members members;
         for (const wire::AwayStorage& away : map().away) members.away.insert(away.identity);
         for (const wire::StorageMember& member : map().members) {
-            if (storage_map::votes(member)) members.voters.insert(member.identity);
-            if (members.away.count(member.identity)) members.returning.insert(member.identity);
+            std::set<std::int64_t>& role = storage_map::votes(member) ? members.voters : members.joining;
+            role.insert(member.identity);
         }
         return members;
     }
--- a/src/storage_plane/turn_chain.cpp
+++ b/src/storage_plane/turn_chain.cpp
@@ -51,12 +51,10 @@
     const bool denied_by_all = std::all_of(members.voters.begin(), members.voters.end(),
                                            [this](std::int64_t voter) { return is_denied_by(voter); });
     if (members.voters.empty() || !denied_by_all) return Verdict::undecided;
-    if (!members.away.empty()) {
-        const std::set<std::int64_t>& answered = answered_[missing_];
-        const bool all_answered = std::includes(answered.begin(), answered.end(), members.returning.begin(),
-                                                members.returning.end());
-        return all_answered ? Verdict::unsure : Verdict::undecided;
-    }
+    const std::set<std::int64_t>& answered = answered_[missing_];
+    if (!std::includes(answered.begin(), answered.end(), members.joining.begin(), members.joining.end()))
+        return Verdict::undecided;
+    if (!members.away.empty()) return Verdict::unsure;
     // Its child is there, so it was: this is loss or expiry, and no reason to deny the turn.
     return missing_ == previous_ ? Verdict::absent : Verdict::broken;
 }
--- a/src/storage_plane/turn_chain.hpp
+++ b/src/storage_plane/turn_chain.hpp
@@ -41,9 +41,9 @@
 
     // Identities, under the present map.
     struct Members {
-        std::set<std::int64_t> voters;     // may deny a turn
-        std::set<std::int64_t> away;       // may hold turns that no voter has
-        std::set<std::int64_t> returning;  // of those that are away: they can be asked
+        std::set<std::int64_t> voters;   // may deny a turn
+        std::set<std::int64_t> joining;  // hold what they have pulled so far, which may be the only copy
+        std::set<std::int64_t> away;     // may hold turns that no voter has
     };
     Verdict verdict(const Members& members);
     // A member has answered for `id`, whatever its answer is worth.
--- a/tests/tier/storage_plane/turn_parts_test.cpp
+++ b/tests/tier/storage_plane/turn_parts_test.cpp
@@ -8,6 +8,7 @@
 #include "storage_map/holder_order.hpp"
 #include "storage_plane/ledger_merge.hpp"
 #include "storage_plane/turn_cache.hpp"
+#include "storage_plane/turn_chain.hpp"
 #include "storage_plane/turn_operation.hpp"
 #include "storage_plane/turn_quorum.hpp"
 
@@ -164,6 +165,51 @@
     }
 }
 
+wire::TurnRecord first_turn(const std::string& id) {
+    wire::TurnRecord record;
+    record.id = id;
+    return record;
+}
+
+class ChainDenial : public testing::Test {
+protected:
+    void denied_by(std::int64_t member) {
+        search_.note_answer(member, "t");
+        search_.learn_end(member, "t", {});
+    }
+
+    TurnCache cache_{1U << 16};
+    ChainSearch search_{cache_, "t"};
+};
+
+// A joining member may have pulled the only copy: were its answer not waited for, the turn would be denied.
+TEST_F(ChainDenial, WaitsForMembersThatJoin) {
+    const ChainSearch::Members members{{1, 2}, {3}, {}};
+    EXPECT_EQ(search_.verdict(members), ChainSearch::Verdict::undecided);
+    denied_by(1);
+    denied_by(2);
+    EXPECT_EQ(search_.verdict(members), ChainSearch::Verdict::undecided);
+    search_.note_answer(3, "t");
+    search_.learn({first_turn("t")});
+    EXPECT_EQ(search_.verdict(members), ChainSearch::Verdict::here);
+}
+
+TEST_F(ChainDenial, IsCertainOnceThoseThatJoinHaveAnsweredToo) {
+    const ChainSearch::Members members{{1, 2}, {3}, {}};
+    denied_by(1);
+    denied_by(2);
+    search_.note_answer(3, "t");
+    EXPECT_EQ(search_.verdict(members), ChainSearch::Verdict::absent);
+}
+
+TEST_F(ChainDenial, IsNotCertainWhileAMemberIsAway) {
+    const ChainSearch::Members members{{1, 2}, {}, {4}};
+    denied_by(1);
+    EXPECT_EQ(search_.verdict(members), ChainSearch::Verdict::undecided);
+    denied_by(2);
+    EXPECT_EQ(search_.verdict(members), ChainSearch::Verdict::unsure);
+}
+
 // A reply may come, or be given up on, after a newer map has begun the exchange anew.
 TEST(ExchangeTest, AFailureFromAnEarlierMapLeavesWhatWasNotSentYetDue) {
     Exchange exchange;
