Storage: copies are not owed by members that can't take them, nor counted by a cursor

Who takes the copy of a lost disk followed from the turn's id and the map alone: where that member was frozen, killed or full, nobody took it, and the next disk, more than syncS later, took the last one along. Of the same class: a holder that a record names, frozen before it had its copy, counted as one; a full member refused the same page for ever and so never followed anybody to the end; and what retires took the others' position among its changes for a proof that they hold its turns.

Members tell of a turn only if they hold it: a named holder that has not told of it and can't be reached is none. A full member goes on without the copies, says so, and takes them once it has room. A retiring member counts who has told of each turn. Counters: short_of_copies, left_out, unable, full, expired_programs.

--- a/idl/storage.thrift
+++ b/idl/storage.thrift
@@ -11,6 +11,7 @@
   6: i64 ended_ms = 0;       // time of day at the end of its answer
   7: i32 keep_for_s = 0;
   8: list<i64> holders;      // identities of the storage members that hold copies
+  9: optional list<string> continued_programs;  // other programs with turns in its chain; absent: none
 }
 
 /** Ledger entries only move forward: a higher state replaces a lower one, whatever the order in which they come. */
@@ -115,6 +116,7 @@
   4: i32 keep_for_s = 0;
   5: i64 left_ms = 0;       // until its sender lets go of the program; durations outlive steps of the clock
   6: optional i64 digest;   // of its sender's entries, which are left out then
+  7: optional list<string> continued_programs;  // kept for as long as this one; absent: none
 }
 /** What a member has learned, in its own order: each member follows every other's changes. */
 struct ChangesRequest {
@@ -127,11 +129,14 @@
   7: bool everything = false;  // all ledger entries, also those that the members which stand for a program tell
   8: bool digests = false;     // digests in place of ledger entries (not with `everything`)
   9: bool own_turns = false;   // turns that it does not hold as a matter of course may be left out
+  10: optional bool incomplete;  // turns up to the cursor were not taken, for want of room
+  11: optional bool anew;        // asked for again, as other members can take copies now than before
 }
 struct TurnHead {
   1: string id;
   2: i64 bytes = 0;
   3: list<i64> holders;      // as its sender knows them; those of all who hold the turn are merged
+  4: optional list<i64> unconfirmed;  // of `holders`: named, and not heard of the turn from; absent: none
 }
 struct ChangesReply {
   1: i32 status = 0;         // StorageStatus
@@ -141,6 +146,7 @@
   5: bool more = false;
   6: list<TurnHead> turns;   // those that the asker should hold, and others: it works that out
   7: list<ProgramLedger> ledgers;
+  8: optional bool full;     // it takes no copies from other members at present
 }
 struct FetchRequest {
   1: i32 protocol = 1;
--- a/src/storage_map/wanted_holders.cpp
+++ b/src/storage_map/wanted_holders.cpp
@@ -1,6 +1,7 @@
 #include "storage_map/wanted_holders.hpp"
 
 #include <algorithm>
+#include <tuple>
 
 #include "failure_domain/spread.hpp"
 #include "storage_map/holder_order.hpp"
@@ -12,13 +13,16 @@
 using failure_domain::LossTolerance;
 using failure_domain::Spread;
 
-// By rendezvous, best first.
-void rank(std::vector<const wire::StorageMember*>& members, const std::string& name) {
-    std::sort(members.begin(), members.end(),
-              [&](const wire::StorageMember* a, const wire::StorageMember* b) {
-                  return std::pair(rendezvous_weight(name, a->identity), a->identity) >
-                         std::pair(rendezvous_weight(name, b->identity), b->identity);
-              });
+// By rendezvous, best first, and behind these the ones that are unable.
+void rank(std::vector<const wire::StorageMember*>& members, const std::string& name,
+          const std::set<std::int64_t>& unable) {
+    const auto place = [&](const wire::StorageMember* member) {
+        const bool able = unable.count(member->identity) == 0;
+        return std::tuple(able, rendezvous_weight(name, member->identity), member->identity);
+    };
+    std::sort(
+        members.begin(), members.end(),
+        [&](const wire::StorageMember* a, const wire::StorageMember* b) { return place(a) > place(b); });
 }
 
 }  // namespace
@@ -30,7 +34,8 @@
 }
 
 std::vector<std::int64_t> wanted_holders(const std::string& id, const std::vector<std::int64_t>& holders,
-                                         const wire::StorageMap& map, const LossTolerance& survive) {
+                                         const wire::StorageMap& map, const LossTolerance& survive,
+                                         const std::set<std::int64_t>& unable) {
     const std::size_t copies = survive.copies(), regions = survive.region_losses() + 1;
     std::vector<std::int64_t> wanted;
     Spread spread;
@@ -47,7 +52,7 @@
             take(member);
     }
     if (wanted.size() >= copies && spread.zones() >= copies && spread.regions() >= regions) return wanted;
-    rank(others, id);
+    rank(others, id, unable);
     for (const wire::StorageMember* member : others) {
         if (spread.regions() >= regions) break;
         if (spread.machines_in_region(member->region) == 0) take(*member);
--- a/src/storage_plane/repair.cpp
+++ b/src/storage_plane/repair.cpp
@@ -1,12 +1,10 @@
 #include "storage_plane/repair.hpp"
 
 #include <algorithm>
-#include <deque>
 #include <string_view>
 #include <unordered_set>
 
-#include "storage_map/holder_order.hpp"
-#include "storage_map/wanted_holders.hpp"
+#include "storage_plane/repair_peer.hpp"
 
 namespace whinledge::storage_plane {
 namespace {
@@ -19,32 +17,8 @@
 constexpr std::size_t kPeersComparedAtPace = 4;
 constexpr int kMismatchesBeforeRescan = 3;
 
-std::size_t body_size(const std::vector<wire::TurnRecord>& turns) {
-    std::size_t bytes = 0;
-    for (const wire::TurnRecord& turn : turns) bytes += storage_plane::body_size(turn);
-    return bytes;
-}
-
 }  // namespace
 
-struct Repair::Peer {
-    wire::StorageMember member;
-    std::int64_t run = 0;
-    std::int64_t cursor = 0;
-    bool asking = false;
-    bool followed = false;  // to its end, under the map of this epoch
-    bool told_all = false;  // of all its turns: from then on of those alone that concern this member
-    std::int64_t next_ask_ms = 0;
-    std::int64_t next_compare_ms = 0;
-    std::map<std::size_t, int> mismatches;  // by range, in a row
-    bool pushing = false;
-    // The page that is being pulled.
-    std::deque<wire::TurnHead> lacking;
-    std::deque<std::string> differing;  // programs with other ledger entries there
-    std::int64_t page_cursor = 0;
-    bool page_more = false;
-};
-
 Repair::Repair(StorageNode& node, PeerCalls& peers, Options options)
     : node_(node), peers_calls_(peers), options_(options) {}
 
@@ -52,15 +26,19 @@
 
 void Repair::step(std::int64_t now_ms) {
     now_ms_ = now_ms;
+    reach_.step(now_ms);
     follow_map(now_ms);
     if (!node_.self()) return;
+    look_for_copies_anew();
     const auto peers = peers_;  // a reply may come at once
     for (const auto& [identity, peer] : peers)
         if (!peer->asking && now_ms >= peer->next_ask_ms) ask(peer);
     check_filled();
     if (node_.self()->state == wire::StorageState::retiring) {
-        if (now_ms - retiring_since_ms_ >= options_.push_after_ms && !emptied()) push_copies();
+        emptied_ = emptied();
+        if (now_ms - retiring_since_ms_ >= options_.push_after_ms && !emptied_) push_copies();
     } else {
+        emptied_ = false;
         retiring_since_ms_ = now_ms;
         pushed_.clear();
     }
@@ -69,8 +47,9 @@
 bool Repair::busy() const {
     const wire::StorageMember* self = node_.self();
     if (!self) return false;
+    if (reach_.suspects()) return true;
     if (self->state == wire::StorageState::joining) return !followed_all();
-    if (self->state == wire::StorageState::retiring) return !emptied();
+    if (self->state == wire::StorageState::retiring) return !emptied_;
     return !node_.filled() || !followed_all();
 }
 
@@ -90,11 +69,42 @@
         peer->next_compare_ms = now_ms + compare_pause_ms(peers.size());
     peers_.swap(peers);  // replies to the old ones fall on deaf ears
     fetching_.clear();
+    std::set<std::int64_t> identities;
+    for (const auto& [identity, peer] : peers_) identities.insert(identity);
+    reach_.keep_only(identities);
+    unable_ = reach_.unable();
+}
+
+// Copies that a member which can't take them was to take are lacking here, perhaps; and those that were left
+// out for want of room may be taken once there is some.
+void Repair::look_for_copies_anew() {
+    std::set<std::int64_t> unable = reach_.unable();
+    const bool more = std::any_of(unable.begin(), unable.end(),
+                                  [&](std::int64_t identity) { return unable_.count(identity) == 0; });
+    unable_ = std::move(unable);
+    const bool has_room_again = left_out_ && !node_.is_full();
+    if (!more && !has_room_again) return;
+    if (has_room_again) left_out_ = false;
+    if (has_room_again)
+        for (const auto& [identity, peer] : peers_) peer->told_all = false;
+    for (const auto& [identity, peer] : peers_) follow_anew(*peer);
+}
+
+void Repair::follow_anew(Peer& peer) {
+    ++counts_.rescans;
+    peer.restarts = true;
+    peer.next_ask_ms = now_ms_;
 }
 
 void Repair::ask(const std::shared_ptr<Peer>& peer) {
     peer->asking = true;
+    if (std::exchange(peer->restarts, false)) {
+        peer->cursor = 0;
+        peer->incomplete = false;
+        peer->anew = true;
+    }
     ++counts_.polls;
+    reach_.asked(peer->member.identity, now_ms_);
     wire::ChangesRequest request;
     request.asker = node_.identity();
     request.map_epoch = epoch_;
@@ -104,19 +114,30 @@
     request.everything = !node_.filled();
     request.digests = true;
     request.own_turns = peer->told_all;
+    if (peer->incomplete) request.__set_incomplete(true);
+    if (peer->anew) request.__set_anew(true);
     peers_calls_.changes(
         peer->member.address, request, [this, peer, alive = alive_](rpc::Result<wire::ChangesReply> reply) {
             if (!*alive || peers_.count(peer->member.identity) == 0 || peers_[peer->member.identity] != peer)
                 return;
+            note_reach(peer->member.identity, reply);
             if (reply && reply.value().status == wire::StorageStatus::ok)
                 return take_page(peer, reply.value());
             finish_page(peer, false);
         });
 }
 
+// One that answers is there, whatever it answers.
+void Repair::note_reach(std::int64_t identity, const rpc::Result<wire::ChangesReply>& reply) {
+    if (reply)
+        reach_.answered(identity, reply.value().__isset.full && reply.value().full);
+    else
+        reach_.failed(identity);
+}
+
 void Repair::take_page(const std::shared_ptr<Peer>& peer, const wire::ChangesReply& reply) {
     if (peer->run != 0 && peer->run != reply.run) ++counts_.rescans;
-    if (peer->run != reply.run) peer->told_all = false;
+    if (peer->run != reply.run) peer->told_all = peer->incomplete = false;
     peer->run = reply.run;
     peer->page_cursor = reply.cursor;
     peer->page_more = reply.more;
@@ -126,7 +147,8 @@
         if (node_.has_other_entries(ledger)) peer->differing.push_back(ledger.program);
     for (const wire::TurnHead& head : reply.turns) {
         node_.merge_holders(head);
-        if (node_.lacks(head)) peer->lacking.push_back(head);
+        node_.confirm_holder(head.id, peer->member.identity);
+        if (node_.lacks(head, unable_)) peer->lacking.push_back(head);
     }
     node_.take_in({}, reply.ledgers, [this, peer, alive = alive_](bool synced) {
         if (!*alive || peers_.count(peer->member.identity) == 0 || peers_[peer->member.identity] != peer)
@@ -136,6 +158,14 @@
     });
 }
 
+// For want of room: another member takes the copies, and this one once there is room.
+void Repair::leave_out(Peer& peer) {
+    if (peer.lacking.empty()) return;
+    counts_.left_out += peer.lacking.size();
+    peer.lacking.clear();
+    peer.incomplete = left_out_ = true;
+}
+
 void Repair::fetch_next(const std::shared_ptr<Peer>& peer) {
     wire::FetchRequest request;
     request.run = peer->run;
@@ -143,6 +173,7 @@
         request.programs.push_back(std::move(peer->differing.front()));
         peer->differing.pop_front();
     }
+    if (node_.is_full()) leave_out(*peer);
     std::size_t bytes = 0;
     bool elsewhere = false;  // another member is being asked for some: not done before they are here
     std::deque<wire::TurnHead> later;
@@ -176,12 +207,16 @@
                            const auto finished = [this, peer, epoch, ids, some, alive = alive_](bool synced) {
                                if (!*alive || epoch != epoch_) return;
                                for (const std::string& id : ids) fetching_.erase(id);
+                               if (some && !synced && node_.is_full()) {
+                                   peer->incomplete = left_out_ = true;
+                                   return fetch_next(peer);
+                               }
                                if (!some || !synced) return finish_page(peer, false);
                                fetch_next(peer);
                            };
                            if (!some) return finished(false);
                            counts_.fetched += reply.value().turns.size();
-                           counts_.fetched_bytes += body_size(reply.value().turns);
+                           counts_.fetched_bytes += bytes_of(reply.value().turns);
                            // What came short is asked for again; what did not come at all has gone there in
                            // the meantime.
                            if (!reply.value().turns.empty() && reply.value().turns.size() < ids.size()) {
@@ -221,10 +256,14 @@
     if (peer->page_more) return ask(peer);
     end_repair_if_idle();
     const bool first = !peer->followed;
+    const wire::StorageMember* const self = node_.self();
+    const bool retires = self && self->state == wire::StorageState::retiring;
     peer->followed = peer->told_all = true;
+    peer->anew = false;
     // Somebody waits for the proof of what was just pulled, perhaps.
     const bool prove = moved && (first || peer->member.state == wire::StorageState::retiring);
-    peer->next_ask_ms = now_ms_ + (prove ? 0 : options_.poll_ms);
+    const bool soon = prove || peer->restarts;
+    peer->next_ask_ms = now_ms_ + (soon ? 0 : retires ? options_.retry_ms : options_.poll_ms);
     check_filled();
     if (prove) return ask(peer);
     if (now_ms_ >= peer->next_compare_ms) compare(peer);
@@ -290,11 +329,9 @@
         if (++peer->mismatches[range] >= kMismatchesBeforeRescan) rescan = true;
     }
     if (!rescan) return;
-    ++counts_.rescans;
     peer->mismatches.clear();
     peer->told_all = false;
-    peer->cursor = 0;
-    peer->next_ask_ms = now_ms_;
+    follow_anew(*peer);
 }
 
 bool Repair::followed_all() const { return unfollowed() == 0; }
@@ -314,158 +351,10 @@
     const wire::StorageMember* self = node_.self();
     if (!self || node_.map().epoch != epoch_) return "";
     if (self->state == wire::StorageState::joining) return followed_all() ? "synced" : "";
-    if (self->state == wire::StorageState::retiring) return emptied() ? "emptied" : "";
+    if (self->state == wire::StorageState::retiring) return emptied_ ? "emptied" : "";
     return "";
 }
 
-// ---- Retiring
-// ----------------------------------------------------------------------------------------------
-
-// The other has synced all that it should hold of this member's turns, under the map by which this one
-// retires.
-bool Repair::proved(const Peer& peer) const {
-    const StorageNode::Acknowledged acknowledged = node_.acknowledged(peer.member.identity);
-    const TurnStore& held = node_.index();
-    const std::uint64_t last = node_.ledgers_grouped() ? held.last_change() : held.last_turn_change();
-    return acknowledged.map_epoch == epoch_ && acknowledged.cursor >= last;
-}
-
-bool Repair::emptied() const {
-    std::set<std::int64_t> proved_by;
-    bool all = true;
-    for (const auto& [identity, peer] : peers_) {
-        if (peer->member.state == wire::StorageState::retiring) continue;
-        if (proved(*peer))
-            proved_by.insert(identity);
-        else
-            all = false;
-    }
-    if (proved_by.empty() && !peers_.empty()) return false;
-    // What this member granted has to be kept by those that keep the ledger now.
-    if (all || node_.ledgers_grouped()) return all;
-    for (const auto& [id, turn] : node_.index().turns()) {
-        std::set<std::int64_t> holds;
-        for (const std::int64_t identity :
-             storage_map::wanted_holders(id, turn.holders, node_.map(), options_.survive))
-            if (proved_by.count(identity)) holds.insert(identity);
-        for (const std::int64_t identity : pushed_to(id)) holds.insert(identity);
-        if (!outlast(spread_of(holds))) return false;
-    }
-    return true;
-}
-
-failure_domain::Spread Repair::spread_of(const std::set<std::int64_t>& identities) const {
-    failure_domain::Spread spread;
-    for (const auto& [identity, peer] : peers_)
-        if (identities.count(identity)) spread.add(failure_domain::location_of(peer->member));
-    return spread;
-}
-
-// Copies at these holders are enough; where those that stay lie in too few zones or regions, in all of these.
-bool Repair::outlast(const failure_domain::Spread& holders) const {
-    failure_domain::Spread staying;
-    for (const auto& [identity, peer] : peers_)
-        if (peer->member.state != wire::StorageState::retiring)
-            staying.add(failure_domain::location_of(peer->member));
-    const failure_domain::LossTolerance& survive = options_.survive;
-    return holders.machines() >= survive.copies() &&
-           holders.zones() >= std::min(survive.zone_losses() + 1, staying.zones()) &&
-           holders.regions() >= std::min(survive.region_losses() + 1, staying.regions());
-}
-
-// Those that have synced a copy that was given to them, and still are members that stay.
-std::set<std::int64_t> Repair::pushed_to(const std::string& id) const {
-    std::set<std::int64_t> staying;
-    const auto pushed = pushed_.find(id);
-    if (pushed == pushed_.end()) return staying;
-    for (const std::int64_t identity : pushed->second) {
-        const auto peer = peers_.find(identity);
-        if (peer != peers_.end() && peer->second->member.state != wire::StorageState::retiring)
-            staying.insert(identity);
-    }
-    return staying;
-}
-
-// Of the others, best first, those that would make the holders outlast a loss: first where no copy would lie
-// in their region or zone, then the rest.
-std::vector<std::int64_t> Repair::complement(
-    failure_domain::Spread holders, const std::vector<std::pair<std::uint64_t, std::int64_t>>& others) const {
-    std::vector<std::int64_t> chosen;
-    const auto take = [&](const auto& helps) {
-        for (const auto& [weight, identity] : others) {
-            const failure_domain::Location at =
-                failure_domain::location_of(peers_.find(identity)->second->member);
-            if (outlast(holders)) return;
-            if (!helps(at) || std::find(chosen.begin(), chosen.end(), identity) != chosen.end()) continue;
-            chosen.push_back(identity);
-            holders.add(at);
-        }
-    };
-    const failure_domain::LossTolerance& survive = options_.survive;
-    take([&](const failure_domain::Location& at) {
-        return holders.regions() <= survive.region_losses() && holders.machines_in_region(at.region) == 0;
-    });
-    take([&](const failure_domain::Location& at) {
-        return holders.zones() <= survive.zone_losses() && holders.machines_in_zone(at.zone) == 0;
-    });
-    take([](const failure_domain::Location&) { return true; });
-    return chosen;
-}
-
-// To those that answer, in place of those that do not.
-void Repair::push_copies() {
-    std::map<std::int64_t, std::pair<std::vector<std::string>, std::size_t>> batches;
-    for (const auto& [id, turn] : node_.index().turns()) {
-        std::set<std::int64_t> holds = pushed_to(id);
-        for (const std::int64_t identity :
-             storage_map::wanted_holders(id, turn.holders, node_.map(), options_.survive))
-            if (const auto peer = peers_.find(identity); peer != peers_.end() && proved(*peer->second))
-                holds.insert(identity);
-        failure_domain::Spread spread = spread_of(holds);
-        if (outlast(spread)) continue;
-        std::vector<std::pair<std::uint64_t, std::int64_t>> others;
-        for (const auto& [identity, peer] : peers_) {
-            const bool answers = node_.acknowledged(identity).map_epoch == epoch_;
-            if (peer->member.state == wire::StorageState::retiring || !answers || holds.count(identity))
-                continue;
-            others.emplace_back(storage_map::rendezvous_weight(id, identity), identity);
-        }
-        std::sort(others.rbegin(), others.rend());
-        for (const std::int64_t identity : complement(spread, others)) {
-            auto& [ids, bytes] = batches[identity];
-            if (bytes >= options_.fetch_bytes) continue;
-            ids.push_back(id);
-            bytes += turn.place.size;
-        }
-    }
-    for (auto& [identity, batch] : batches)
-        if (const auto& peer = peers_[identity]; !peer->pushing) push_batch(peer, std::move(batch.first));
-}
-
-void Repair::push_batch(const std::shared_ptr<Peer>& peer, std::vector<std::string> ids) {
-    wire::StoreRequest request;
-    request.turns = node_.records(ids, 2 * options_.fetch_bytes);
-    if (request.turns.empty()) return;
-    std::set<std::string> programs;
-    ids.clear();
-    for (const wire::TurnRecord& turn : request.turns) {
-        ids.push_back(turn.id);
-        if (programs.insert(program_name(turn)).second)
-            request.ledgers.push_back(node_.lifetime_of(program_name(turn)));
-    }
-    peer->pushing = true;
-    counts_.pushed += ids.size();
-    counts_.pushed_bytes += body_size(request.turns);
-    peers_calls_.store(
-        peer->member.address, request,
-        [this, peer, ids = std::move(ids), alive = alive_](rpc::Result<wire::StoreReply> reply) {
-            if (!*alive) return;
-            peer->pushing = false;
-            if (!reply || reply.value().status != wire::StorageStatus::ok) return;
-            for (const std::string& id : ids) pushed_[id].insert(peer->member.identity);
-        });
-}
-
 // ---- What is told of it
 
 // Turns that some member has told of and that are not here yet, each once whoever told of it.
@@ -493,6 +382,17 @@
     return progress;
 }
 
+// Turns held here of which too few members are known to hold copies, wherever they stand.
+std::size_t Repair::short_of_copies() const {
+    const wire::StorageMember* const self = node_.self();
+    if (!self) return 0;
+    const auto& turns = node_.index().turns();
+    return static_cast<std::size_t>(std::count_if(turns.begin(), turns.end(), [&](const auto& held) {
+        const auto& [id, turn] = held;
+        return is_owed(turn) && kept_elsewhere(id, turn).size() + 1 < options_.survive.copies();
+    }));
+}
+
 std::string Repair::counters() const {
     const wire::StorageProgress told = progress();
     const auto field = [](const char* name, auto value) {
@@ -503,7 +403,9 @@
            field("pushed", counts_.pushed) + field("rescans", counts_.rescans) +
            field("mismatches", counts_.mismatches) + field("lacking", told.lacking_turns) +
            field("unfollowed", told.unfollowed_members) + field("taken_bytes", told.taken_bytes) +
-           field("given_bytes", told.given_bytes) + field("paced_replies", told.paced_replies);
+           field("short_of_copies", short_of_copies()) + field("left_out", counts_.left_out) +
+           field("unable", unable_.size()) + field("given_bytes", told.given_bytes) +
+           field("paced_replies", told.paced_replies);
 }
 
 }  // namespace whinledge::storage_plane
--- a/src/storage_plane/repair.hpp
+++ b/src/storage_plane/repair.hpp
@@ -1,10 +1,10 @@
 // Repair between storage members. Each member follows the changes of every other and pulls what it should
-// hold and lacks; a position behind which all is pulled and synced is told with the next question, which is
-// the other's proof that it was copied. Level-triggered: with each new map it starts anew from the beginning
-// of all.
+// hold and lacks; a position behind which all is pulled and synced is told with the next question.
+// Level-triggered: with each new map it starts anew from the beginning of all, and so it does where members
+// fall silent or have no room: what these were to take is pulled by others.
 //
-// A new member pulls all before it may vote; one that retires waits until the others have proved that they
-// hold all of its turns, and gives them itself to those that answer where one does not.
+// A new member pulls all before it may vote; one that retires waits until enough others have told that they
+// hold each of its turns, and gives them itself to those that answer where that takes long.
 #pragma once
 
 #include <chrono>
@@ -20,6 +20,7 @@
 
 #include "failure_domain/spread.hpp"
 #include "rpc/call.hpp"
+#include "storage_plane/peer_reach.hpp"
 #include "storage_plane/storage_node.hpp"
 
 namespace whinledge::storage_plane {
@@ -63,6 +64,7 @@
 
     struct Counters {
         std::uint64_t polls = 0, failed = 0, fetched = 0, pushed = 0, rescans = 0, mismatches = 0;
+        std::uint64_t left_out = 0;                         // copies, for want of room
         std::uint64_t fetched_bytes = 0, pushed_bytes = 0;  // of turns
     };
     const Counters& counts() const { return counts_; }
@@ -74,6 +76,10 @@
     struct Peer;
     struct Page;
     void follow_map(std::int64_t now_ms);
+    void look_for_copies_anew();
+    void follow_anew(Peer& peer);
+    void leave_out(Peer& peer);
+    void note_reach(std::int64_t identity, const rpc::Result<wire::ChangesReply>& reply);
     void ask(const std::shared_ptr<Peer>& peer);
     void take_page(const std::shared_ptr<Peer>& peer, const wire::ChangesReply& reply);
     void fetch_next(const std::shared_ptr<Peer>& peer);
@@ -92,6 +98,9 @@
     bool followed_all() const;
     bool emptied() const;
     bool proved(const Peer& peer) const;
+    bool is_owed(const HeldTurn& turn) const;
+    std::set<std::int64_t> kept_elsewhere(const std::string& id, const HeldTurn& turn) const;
+    std::size_t short_of_copies() const;
     std::set<std::int64_t> pushed_to(const std::string& id) const;
     failure_domain::Spread spread_of(const std::set<std::int64_t>& identities) const;
     bool outlast(const failure_domain::Spread& holders) const;
@@ -108,6 +117,10 @@
     std::int64_t epoch_ = 0;
     std::map<std::int64_t, std::shared_ptr<Peer>> peers_;  // by identity
     std::set<std::string> fetching_;
+    PeerReach reach_;
+    std::set<std::int64_t> unable_;  // members that could take no copies at the last step
+    bool left_out_ = false;          // some copies, for want of room
+    bool emptied_ = false;           // while it retires, as of the last step
     // Since the first turn that was asked for; none: nothing is lacking, and nobody is being asked.
     std::optional<std::int64_t> repairing_since_ms_;
     std::int64_t retiring_since_ms_ = 0;
--- a/src/storage_plane/storage_node.cpp
+++ b/src/storage_plane/storage_node.cpp
@@ -29,6 +29,8 @@
       repair_pace_(options_.repair_pace) {
     ledger_spread_.planted = options_.planted_ledgers;
     run_ = options_.draw();
+    opened_ms_ = options_.steady_ms();
+    copies_refused_ms_ = opened_ms_ - kFullMs;
 }
 
 DiskResult<std::unique_ptr<StorageNode>> StorageNode::open(Folder& folder, Options options) {
@@ -70,6 +72,7 @@
 void StorageNode::replay_record(const Place& place, const wire::ProgramLedger& ledger) {
     for (const wire::LedgerEntry& entry : ledger.entries) store_.add_entry(ledger.program, entry, place);
     store_.keep(ledger.program, 0, 0, ledger.keep_for_s, ledger.touched_ms);
+    if (ledger.__isset.continued_programs) store_.add_continued(ledger.program, ledger.continued_programs);
 }
 
 void StorageNode::replay_record(const Place&, const wire::StorageMap& map) {
@@ -218,8 +221,8 @@
            field("commits", counts_.commits) + field("taken_in", counts_.taken_in) +
            field("refused_full", counts_.refused_full) + field("stale_maps", counts_.stale_maps) +
            field("conflicts", counts_.conflicts) + field("disk_failures", counts_.disk_failures) +
-           field("unreadable_records", counts_.unreadable_records) +
-           field("by_snapshot", started_.by_snapshot) +
+           field("unreadable_records", counts_.unreadable_records) + field("full", is_full() ? 1 : 0) +
+           field("expired_programs", counts_.expired_programs) + field("by_snapshot", started_.by_snapshot) +
            field("start_ms", static_cast<std::uint64_t>(started_.ms)) + snapshot_counters();
 }
 
--- a/src/storage_plane/storage_node.hpp
+++ b/src/storage_plane/storage_node.hpp
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -27,6 +28,12 @@
 
 namespace whinledge::storage_plane {
 
+// A member that has refused a copy for want of room is taken to be full for so long.
+inline constexpr std::int64_t kFullMs = 5000;
+// After its start a member takes the holders that its records name for holders, until these have had so long
+// to tell it.
+inline constexpr std::int64_t kConfirmMs = 5000;
+
 class StorageNode {
 public:
     struct Options {
@@ -99,12 +106,17 @@
     void take_in(const std::vector<wire::TurnRecord>& turns, const std::vector<wire::ProgramLedger>& ledgers,
                  std::function<void(bool)> done);
     bool holds(const std::string& id) const { return store_.turn(id) != nullptr; }
-    // Whether this member should hold the turn, and does not.
-    bool lacks(const wire::TurnHead& head) const;
+    // Whether this member should hold the turn, and does not. `unable`: members that can take no copies at
+    // present; they hold a turn only where its teller has heard so from them.
+    bool lacks(const wire::TurnHead& head, const std::set<std::int64_t>& unable = {}) const;
+    // It takes no copies from other members for want of room, at present.
+    bool is_full() const;
     // Whether another member's entries of a program, told by their digest, differ from those held here.
     bool has_other_entries(const wire::ProgramLedger& ledger) const;
     // Others may know of more holders of a turn that is held here.
     void merge_holders(const wire::TurnHead& head) { store_.merge_holders(head.id, head.holders); }
+    // A member has told of the turn: it holds it.
+    void confirm_holder(const std::string& id, std::int64_t member) { store_.confirm_holder(id, member); }
     std::vector<wire::TurnRecord> records(const std::vector<std::string>& ids, std::size_t most_bytes);
     wire::ProgramLedger lifetime_of(const std::string& program) const;
     // Of what this member and the other both should hold, by range.
@@ -115,6 +127,7 @@
     struct Acknowledged {
         std::int64_t map_epoch = 0;
         std::uint64_t cursor = 0;
+        bool complete = true;  // nothing up to there was left out for want of room
     };
     Acknowledged acknowledged(std::int64_t member) const;
 
@@ -130,6 +143,7 @@
         std::uint64_t fetched_from_bytes = 0, stored_bytes = 0;
         std::uint64_t paced_replies = 0;       // to other members, kept short beside turns
         std::uint64_t unreadable_records = 0;  // of the log, left out at the start: another version's
+        std::uint64_t expired_programs = 0;    // let go with their turns, their time being over
     };
     const Counters& counts() const { return counts_; }
     std::string counters() const;
@@ -157,8 +171,12 @@
     void replay_record(const Place& place, const wire::StorageMap& map);
     void replay_record(const Place& place, FilledMark mark);
 
-    static bool concerns(std::int64_t member, const HeldTurn& turn,
-                         const storage_map::StayingHolders& staying);
+    bool concerns(const wire::ChangesRequest& request, const HeldTurn& turn,
+                  const storage_map::StayingHolders& staying) const;
+    std::vector<std::int64_t> unconfirmed_holders(const HeldTurn& turn) const;
+    void keep_as_told(const wire::ProgramLedger& lifetime);
+    wire::TurnHead head_of(const std::string& id, const HeldTurn& turn, bool with_unconfirmed) const;
+    void retell_unconfirmed_once();
     bool is_stale(std::int64_t map_epoch) const;
     template <class Reply>
     void refuse_as_stale(Reply& reply);
@@ -195,6 +213,9 @@
     bool filled_ = false;
     bool filled_noted_ = false;  // on disk: after a restart it may vote on all ledgers that it keeps
     std::int64_t next_reclaim_ms_ = 0;
+    std::int64_t copies_refused_ms_;  // steady: of the last refusal for want of room
+    std::int64_t opened_ms_;          // steady
+    bool retold_unconfirmed_ = false;
     LedgerSpread ledger_spread_;
     mutable SharedDigests digests_;  // what it remembers changes no result
     bool state_owed_ = false;        // a commit failed: what it knows of itself has to be written again
--- a/src/storage_plane/storage_node_members.cpp
+++ b/src/storage_plane/storage_node_members.cpp
@@ -37,6 +37,8 @@
             for (const std::int64_t holder : held->holders)
                 if (std::find(record.holders.begin(), record.holders.end(), holder) == record.holders.end())
                     record.holders.push_back(holder);
+        if (std::find(record.holders.begin(), record.holders.end(), identity_) == record.holders.end())
+            record.holders.push_back(identity_);
         payloads.push_back(encode_record(record));
         bytes += payloads.back().size();
         news->bodies.push_back(std::make_shared<const std::string>(body_of(payloads.back())));
@@ -47,6 +49,7 @@
         changed.program = ledger.program;
         changed.keep_for_s = ledger.keep_for_s;
         changed.left_ms = ledger.left_ms;
+        if (ledger.__isset.continued_programs) changed.__set_continued_programs(ledger.continued_programs);
         for (const wire::LedgerEntry& entry : ledger.entries)
             if (!entry.turn.empty() && !ledger.program.empty() && store_.is_news(ledger.program, entry))
                 changed.entries.push_back(entry);
@@ -69,10 +72,7 @@
                 store_.add_entry(ledger.program, entry, places[at]);
             ++at;
         }
-        for (const wire::ProgramLedger& lifetime : news->lifetimes)
-            if (store_.program(lifetime.program))
-                keep(lifetime.program, std::clamp<std::int64_t>(lifetime.left_ms, 0, kept_ms(kMostKeepForS)),
-                     lifetime.keep_for_s);
+        for (const wire::ProgramLedger& lifetime : news->lifetimes) keep_as_told(lifetime);
         // Its sender did not say how long it has left.
         for (const wire::TurnRecord& turn : news->turns)
             if (store_.program(program_name(turn))->goes_ms == 0)
@@ -86,23 +86,60 @@
     write(payloads, apply, std::move(done));
 }
 
-bool StorageNode::lacks(const wire::TurnHead& head) const {
+void StorageNode::keep_as_told(const wire::ProgramLedger& lifetime) {
+    const std::int64_t left_ms = std::clamp<std::int64_t>(lifetime.left_ms, 0, kept_ms(kMostKeepForS));
+    store_.add_continued(lifetime.program, lifetime.continued_programs);
+    if (store_.program(lifetime.program)) keep(lifetime.program, left_ms, lifetime.keep_for_s);
+    for (const std::string& continued : lifetime.continued_programs)
+        if (store_.program(continued)) keep(continued, left_ms, lifetime.keep_for_s);
+}
+
+bool StorageNode::lacks(const wire::TurnHead& head, const std::set<std::int64_t>& unable) const {
     if (holds(head.id)) return false;
-    const auto wanted = storage_map::wanted_holders(head.id, head.holders, map_, options_.survive);
+    std::vector<std::int64_t> holders = head.holders;
+    std::erase_if(holders, [&](std::int64_t holder) {
+        const bool unconfirmed =
+            std::find(head.unconfirmed.begin(), head.unconfirmed.end(), holder) != head.unconfirmed.end();
+        return unconfirmed && unable.count(holder) > 0;
+    });
+    const auto wanted = storage_map::wanted_holders(head.id, holders, map_, options_.survive, unable);
     return std::find(wanted.begin(), wanted.end(), identity_) != wanted.end();
 }
 
 // Whether a member that was told of all turns under this map has to hear of this one. Where just enough of
 // its holders stay, nobody else should hold it. That is told to everybody all the same where the holders were
 // others before: by those a member may have worked out that it should hold a copy, and it would go on to
-// expect one of those that should not.
-bool StorageNode::concerns(std::int64_t member, const HeldTurn& turn,
-                           const storage_map::StayingHolders& staying) {
-    if (turn.holders_changed) return true;
+// expect one of those that should not. So is a turn of a program that continues others': who holds these has
+// to keep them as long; and, where it is asked for again, one of which a holder has not told.
+bool StorageNode::concerns(const wire::ChangesRequest& request, const HeldTurn& turn,
+                           const storage_map::StayingHolders& staying) const {
+    const std::int64_t member = request.asker;
+    if (turn.holders_changed || !store_.program(turn.program)->continued.empty()) return true;
+    if (request.anew && !unconfirmed_holders(turn).empty()) return true;
     if (std::find(turn.holders.begin(), turn.holders.end(), member) != turn.holders.end()) return true;
     return !staying.just_enough(turn.holders);
 }
 
+wire::TurnHead StorageNode::head_of(const std::string& id, const HeldTurn& turn,
+                                    bool with_unconfirmed) const {
+    wire::TurnHead head;
+    head.id = id;
+    head.bytes = turn.place.size;
+    head.holders = turn.holders;
+    if (with_unconfirmed) head.unconfirmed = unconfirmed_holders(turn);
+    head.__isset.unconfirmed = !head.unconfirmed.empty();
+    return head;
+}
+
+// Members that the turn's record names, and that have not told of it; soon after a start that says nothing.
+std::vector<std::int64_t> StorageNode::unconfirmed_holders(const HeldTurn& turn) const {
+    std::vector<std::int64_t> unconfirmed;
+    if (options_.steady_ms() - opened_ms_ < kConfirmMs) return unconfirmed;
+    for (std::size_t i = 0; i < turn.holders.size(); ++i)
+        if (turn.holders[i] != identity_ && !is_confirmed(turn, i)) unconfirmed.push_back(turn.holders[i]);
+    return unconfirmed;
+}
+
 bool StorageNode::has_other_entries(const wire::ProgramLedger& ledger) const {
     if (!ledger.__isset.digest) return false;
     const HeldProgram* held = store_.program(ledger.program);
@@ -130,6 +167,7 @@
         lifetime.touched_ms = held->touched_ms;
         lifetime.keep_for_s = held->keep_for_s;
         lifetime.left_ms = std::max<std::int64_t>(held->offered_ms - options_.steady_ms(), 0);
+        if (!held->continued.empty()) lifetime.__set_continued_programs(held->continued);
     }
     return lifetime;
 }
@@ -143,7 +181,8 @@
     }
     reply.run = run_;
     const std::uint64_t from = request.run == run_ ? static_cast<std::uint64_t>(request.cursor) : 0;
-    acknowledged_[request.asker] = {request.map_epoch, from};
+    acknowledged_[request.asker] = {request.map_epoch, from, !request.incomplete};
+    if (is_full()) reply.__set_full(true);
     std::map<std::string, wire::ProgramLedger> ledgers;
     const auto ledger_of = [&](const std::string& program) -> wire::ProgramLedger& {
         const auto [ledger, added] = ledgers.try_emplace(program);
@@ -191,12 +230,10 @@
         }
         const HeldTurn* held = store_.turn(turn);
         if (ledger_of(held->program).left_ms <= 0) continue;
-        if (own_turns && !concerns(request.asker, *held, staying)) continue;
-        wire::TurnHead head;
-        head.id = turn;
-        head.bytes = held->place.size;
-        head.holders = held->holders;
-        reply.turns.push_back(std::move(head));
+        if (own_turns && !concerns(request, *held, staying)) continue;
+        // Just after it was written that would be every turn's.
+        const bool with_unconfirmed = !own_turns || request.anew || held->holders_changed;
+        reply.turns.push_back(head_of(turn, *held, with_unconfirmed));
     }
     for (auto& [program, ledger] : ledgers)
         if (ledger.left_ms > 0) reply.ledgers.push_back(std::move(ledger));
--- a/src/storage_plane/storage_node_room.cpp
+++ b/src/storage_plane/storage_node_room.cpp
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "storage_map/wanted_holders.hpp"
 #include "storage_plane/storage_node.hpp"
 
 namespace whinledge::storage_plane {
@@ -13,8 +14,9 @@
 constexpr std::uint64_t kReserveSegments = 4;
 // Room that repair leaves to the rewriting of segments: a member that pulls what full ones hold gets done.
 constexpr std::uint64_t kReserveForRewriting = 2;
-constexpr std::size_t kRepairShare = 8;        // one part in so many of the memory is for repair alone
-constexpr std::int64_t kReclaimPauseMs = 250;  // while the disk is full
+constexpr std::uint64_t kLeastRoomForCopies = 2;  // segments; with less a member takes none
+constexpr std::size_t kRepairShare = 8;           // one part in so many of the memory is for repair alone
+constexpr std::int64_t kReclaimPauseMs = 250;     // while the disk is full
 constexpr std::uint64_t kRecordHeadBytes = 16;
 // Of the disk's room; the rest is for what the file system needs.
 constexpr double kDiskShare = 0.88;
@@ -53,11 +55,29 @@
     }
     if (fits()) return true;
     ++counts_.refused_full;
+    if (repairs) copies_refused_ms_ = now;
     return false;
 }
 
+// Little room counts as none: members do not tell it again and again, as copies fit or don't by their size.
+bool StorageNode::is_full() const {
+    const std::uint64_t least = (kReserveForRewriting + kLeastRoomForCopies) * options_.segment_bytes;
+    return options_.steady_ms() - copies_refused_ms_ < kFullMs || !log_->has_room(least) ||
+           store_.changes().size() >= options_.most_items + options_.most_items / kRepairShare;
+}
+
+// Of who holds what another start of this process had heard; those who are there have told it again by now.
+void StorageNode::retell_unconfirmed_once() {
+    if (retold_unconfirmed_ || options_.steady_ms() - opened_ms_ < kConfirmMs || map_.epoch == 0) return;
+    retold_unconfirmed_ = true;
+    store_.retell_unconfirmed([this](std::int64_t holder) {
+        return holder != identity_ && storage_map::find_member(map_, holder) != nullptr;
+    });
+}
+
 void StorageNode::tick() {
-    store_.expire(options_.steady_ms());
+    counts_.expired_programs += store_.expire(options_.steady_ms());
+    retell_unconfirmed_once();
     scrub();
     step_snapshot();
     if (std::exchange(state_owed_, false))
@@ -69,7 +89,7 @@
 // Segments go from the oldest end; what is still needed of one is written anew first. Under pressure of room
 // more of it is worth that.
 void StorageNode::reclaim(bool pressed) {
-    if (pressed) store_.expire(options_.steady_ms());
+    if (pressed) counts_.expired_programs += store_.expire(options_.steady_ms());
     const std::uint64_t worth = options_.segment_bytes / 4 * (pressed ? 3 : 1);
     // Those written meanwhile are not looked at: they are live.
     for (std::size_t segments = log_->segments().size(); segments > 1 && reclaim_oldest(worth);) --segments;
--- a/src/storage_plane/turn_store.cpp
+++ b/src/storage_plane/turn_store.cpp
@@ -16,17 +16,24 @@
     });
 }
 
-void add_holders(std::vector<std::int64_t>& to, const std::vector<std::int64_t>& holders) {
-    for (const std::int64_t holder : holders)
-        if (std::find(to.begin(), to.end(), holder) == to.end()) to.push_back(holder);
+template <class T>
+void add_missing(std::vector<T>& to, const std::vector<T>& values) {
+    for (const T& value : values)
+        if (std::find(to.begin(), to.end(), value) == to.end()) to.push_back(value);
 }
 
+constexpr std::size_t kConfirmedBits = 64;  // holders beyond are never taken for confirmed
+
 }  // namespace
 
 std::int64_t kept_ms(std::int32_t keep_for_s) {
     return std::int64_t{std::clamp<std::int32_t>(keep_for_s, 0, kMostKeepForS)} * 1000 + kKeepMarginMs;
 }
 
+bool is_confirmed(const HeldTurn& turn, std::size_t holder) {
+    return holder < kConfirmedBits && (turn.confirmed >> holder & 1U) != 0;
+}
+
 std::size_t body_size(const wire::TurnRecord& record) { return record.input.size() + record.output.size(); }
 
 std::uint64_t digest_of(const wire::TurnRecord& record) {
@@ -65,7 +72,8 @@
     if (!known) program.turns.push_back(record.id);
     program.digest_summary.reset();
     turn.holders_changed |= known && adds_holders(turn.holders, record.holders);
-    add_holders(turn.holders, record.holders);
+    add_missing(turn.holders, record.holders);
+    if (record.__isset.continued_programs) add_missing(program.continued, record.continued_programs);
     turn.place = place;
     live_bytes_[place.segment] += place.size;
     turn.change = changed(turn.change, {&id, nullptr});
@@ -76,13 +84,40 @@
 void TurnStore::merge_holders(const std::string& id, const std::vector<std::int64_t>& holders) {
     const auto held = turns_.find(id);
     if (held == turns_.end() || !adds_holders(held->second.holders, holders)) return;
-    add_holders(held->second.holders, holders);
+    add_missing(held->second.holders, holders);
     held->second.holders_changed = true;
     program_of(held->second.program).second.digest_summary.reset();
     held->second.change = changed(held->second.change, {&held->first, nullptr});
     last_turn_change_ = held->second.change;
 }
 
+void TurnStore::confirm_holder(const std::string& id, std::int64_t holder) {
+    const auto held = turns_.find(id);
+    if (held == turns_.end()) return;
+    const std::vector<std::int64_t>& holders = held->second.holders;
+    if (std::find(holders.begin(), holders.end(), holder) == holders.end()) merge_holders(id, {holder});
+    const auto place =
+        static_cast<std::size_t>(std::find(holders.begin(), holders.end(), holder) - holders.begin());
+    if (place < kConfirmedBits) held->second.confirmed |= std::uint64_t{1} << place;
+}
+
+void TurnStore::add_continued(const std::string& program, const std::vector<std::string>& continued) {
+    const auto held = programs_.find(program);
+    if (held != programs_.end()) add_missing(held->second.continued, continued);
+}
+
+void TurnStore::retell_unconfirmed(const std::function<bool(std::int64_t holder)>& counts) {
+    for (auto& [id, turn] : turns_) {
+        bool unconfirmed = false;
+        for (std::size_t i = 0; i < turn.holders.size(); ++i)
+            unconfirmed = unconfirmed || (counts(turn.holders[i]) && !is_confirmed(turn, i));
+        if (!unconfirmed) continue;
+        turn.holders_changed = true;
+        turn.change = changed(turn.change, {&id, nullptr});
+        last_turn_change_ = turn.change;
+    }
+}
+
 bool TurnStore::is_news(const std::string& program, const wire::LedgerEntry& entry) const {
     const auto held = programs_.find(program);
     if (held == programs_.end()) return true;
@@ -107,13 +142,41 @@
 void TurnStore::keep(const std::string& program, std::int64_t now_ms, std::int64_t left_ms,
                      std::int32_t keep_for_s, std::int64_t touched_ms) {
     HeldProgram& held = program_of(program).second;
+    keep_one(held, now_ms, left_ms, keep_for_s, touched_ms);
+    for (const std::string& name : held.continued)
+        if (const auto continued = programs_.find(name); continued != programs_.end())
+            keep_one(continued->second, now_ms, left_ms, keep_for_s, touched_ms);
+}
+
+void TurnStore::keep_one(HeldProgram& held, std::int64_t now_ms, std::int64_t left_ms,
+                         std::int32_t keep_for_s, std::int64_t touched_ms) {
+    const bool was_told = held.offered_ms == 0 || held.offered_ms > now_ms;
     held.goes_ms = std::max(held.goes_ms, now_ms + left_ms);
     held.offered_ms = std::max(held.offered_ms, now_ms + left_ms);
     held.keep_for_s = std::max(held.keep_for_s, keep_for_s);
     held.touched_ms = std::max(held.touched_ms, touched_ms);
+    if (!was_told && held.offered_ms > now_ms) retell(held);
+}
+
+// Others have passed it over.
+void TurnStore::retell(HeldProgram& program) {
+    for (const std::string& id : program.turns) {
+        HeldTurn& turn = turns_.find(id)->second;
+        turn.change = changed(turn.change, changes_.find(turn.change)->second);
+        last_turn_change_ = turn.change;
+    }
+    for (auto& [id, entry] : program.entries)
+        entry.change = changed(entry.change, changes_.find(entry.change)->second);
 }
 
 void TurnStore::keep_after_restart(std::int64_t now_ms, std::int64_t time_of_day_ms) {
+    for (const auto& [name, program] : programs_)
+        for (const std::string& continued : program.continued) {
+            const auto held = programs_.find(continued);
+            if (held == programs_.end()) continue;
+            held->second.touched_ms = std::max(held->second.touched_ms, program.touched_ms);
+            held->second.keep_for_s = std::max(held->second.keep_for_s, program.keep_for_s);
+        }
     for (auto& [name, program] : programs_) {
         const std::int64_t whole = std::int64_t{program.keep_for_s} * 1000 + kKeepMarginMs;
         const std::int64_t left = program.touched_ms + whole - time_of_day_ms;
@@ -224,10 +287,13 @@
     touched_ms_ = touched_ms;
     keep_for_s_ = keep_for_s;
     oldest_segment_ = oldest_segment;
+    continued_.clear();
     entries_gone_ = oldest_segment < first_segment;
     held_ = nullptr;
 }
 
+void TurnStore::Restoring::continued(std::vector<std::string> programs) { continued_ = std::move(programs); }
+
 // A program of which nothing is left is not held.
 TurnStore::Programs::value_type& TurnStore::Restoring::held() {
     if (held_) return *held_;
@@ -236,6 +302,7 @@
     program.digest_summary.reset();
     program.keep_for_s = std::max(program.keep_for_s, keep_for_s_);
     program.touched_ms = std::max(program.touched_ms, touched_ms_);
+    add_missing(program.continued, continued_);
     return *held_;
 }
 
--- a/src/storage_plane/turn_store.hpp
+++ b/src/storage_plane/turn_store.hpp
@@ -43,6 +43,7 @@
     std::uint64_t id_hash = 0;
     std::uint64_t change = 0;
     bool holders_changed = false;             // since the start: others may know of fewer
+    std::uint64_t confirmed = 0;              // bit i: holders[i] has told of it since the start
     std::shared_ptr<const std::string> body;  // the encoded record, where it is in memory
 };
 
@@ -54,9 +55,10 @@
 struct HeldProgram {
     std::map<std::string, HeldEntry> entries;  // by turn
     std::vector<std::string> turns;
-    std::int64_t goes_ms = 0;     // steady: held until then
-    std::int64_t offered_ms = 0;  // steady: told to other members until then; not above goes_ms
-    std::int64_t touched_ms = 0;  // time of day
+    std::vector<std::string> continued;  // programs that its turns' chains come from: kept as long as it
+    std::int64_t goes_ms = 0;            // steady: held until then
+    std::int64_t offered_ms = 0;         // steady: told to other members until then; not above goes_ms
+    std::int64_t touched_ms = 0;         // time of day
     std::int32_t keep_for_s = 0;
     std::uint64_t oldest_segment = 0;  // that has entries of it; 0: none
     std::uint64_t hash = 0;
@@ -81,11 +83,18 @@
     void add_turn(const wire::TurnRecord& record, Place place, std::shared_ptr<const std::string> body);
     // Known in memory only: it can be learned again from where it came.
     void merge_holders(const std::string& id, const std::vector<std::int64_t>& holders);
+    // A member has told that it holds the turn. Known in memory only.
+    void confirm_holder(const std::string& id, std::int64_t holder);
+    // A program is kept for as long as another that goes on from its turns.
+    void add_continued(const std::string& program, const std::vector<std::string>& continued);
+    // Turns of which some holder that `counts` has not told are changes anew: others hear of them again.
+    void retell_unconfirmed(const std::function<bool(std::int64_t holder)>& counts);
     // Whether an entry would change anything.
     bool is_news(const std::string& program, const wire::LedgerEntry& entry) const;
     void add_entry(const std::string& program, const wire::LedgerEntry& entry, Place place);
 
-    // Something of the program was written: it is kept from now on for at least `left_ms`.
+    // Something of the program was written: it is kept from now on for at least `left_ms`, and so are the
+    // programs that it continues. What was not told to others any more is told anew.
     void keep(const std::string& program, std::int64_t now_ms, std::int64_t left_ms, std::int32_t keep_for_s,
               std::int64_t touched_ms);
     // After a restart: all is kept in full, however the time of day has moved, but told to others only as
@@ -129,7 +138,8 @@
         // still needed was written anew.
         void program(std::string_view name, std::int64_t touched_ms, std::int32_t keep_for_s,
                      std::uint64_t oldest_segment, std::uint64_t first_segment);
-        void turn(std::string_view id, HeldTurn turn);  // parent, holders, place and digest of it
+        void continued(std::vector<std::string> programs);  // of the program named last
+        void turn(std::string_view id, HeldTurn turn);      // parent, holders, place and digest of it
         void entry(const wire::LedgerEntry& entry);
 
     private:
@@ -137,6 +147,7 @@
 
         TurnStore& store_;
         std::string name_;
+        std::vector<std::string> continued_;
         std::int64_t touched_ms_ = 0;
         std::int32_t keep_for_s_ = 0;
         std::uint64_t oldest_segment_ = 0;
@@ -147,6 +158,9 @@
 private:
     using Programs = std::unordered_map<std::string, HeldProgram>;
     Programs::value_type& program_of(const std::string& name);
+    void keep_one(HeldProgram& held, std::int64_t now_ms, std::int64_t left_ms, std::int32_t keep_for_s,
+                  std::int64_t touched_ms);
+    void retell(HeldProgram& program);
     std::uint64_t changed(std::uint64_t before, Change change);
     void cache(HeldTurn& turn, const std::string& id, std::shared_ptr<const std::string> body);
     void shrink_cache();
@@ -165,6 +179,9 @@
     std::size_t cached_bytes_ = 0;
 };
 
+// Whether a holder of the turn, by its place among `holders`, has told that it holds it.
+bool is_confirmed(const HeldTurn& turn, std::size_t holder);
+
 // Bytes of what it holds of its conversation.
 std::size_t body_size(const wire::TurnRecord& record);
 // Of a record's bytes, whoever holds it.
