Storage: a record names the programs that its chain comes from, and keeps them

After a start its copies were not told to other members any more, whose cursors went past them, and the members that were emptied or lost were the last ones that had them.

The record of a turn names the other programs in its chain, so it is known as durably as the turn, through three programs and more. Who tells of the program names them too; who holds them keeps them as long.

--- a/src/storage_plane/index_snapshot.cpp
+++ b/src/storage_plane/index_snapshot.cpp
@@ -14,7 +14,7 @@
 
 constexpr std::uint64_t kMagic = 0x70616e736e696877;  // "whinsnap"
 // To be raised with each new kind of record in the log too: an older version has left them out.
-constexpr std::uint32_t kVersion = 1;
+constexpr std::uint32_t kVersion = 2;
 enum class Kind : std::uint8_t { end = 0, program = 1, turn = 2, entry = 3 };
 constexpr std::size_t kChecksumBytes = sizeof(std::uint64_t);
 constexpr std::size_t kItemsBytesAbout = 60;  // of one item, to make room for them at once
@@ -64,7 +64,12 @@
     const auto touched_ms = cursor.number<std::int64_t>();
     const auto keep_for_s = cursor.number<std::int32_t>();
     const auto oldest_segment = cursor.number<std::uint64_t>();
-    if (cursor.whole()) into.program(name, touched_ms, keep_for_s, oldest_segment, first_segment);
+    std::vector<std::string> continued;
+    const auto count = cursor.number<std::uint32_t>();
+    for (std::uint32_t i = 0; i < count && cursor.whole(); ++i) continued.emplace_back(cursor.text());
+    if (!cursor.whole()) return;
+    into.program(name, touched_ms, keep_for_s, oldest_segment, first_segment);
+    into.continued(std::move(continued));
 }
 
 void restore_turn(Cursor& cursor, TurnStore::Restoring& into, std::uint64_t first_segment) {
@@ -132,6 +137,8 @@
     put(pending_, held.touched_ms);
     put(pending_, held.keep_for_s);
     put(pending_, held.oldest_segment);
+    put(pending_, static_cast<std::uint32_t>(held.continued.size()));
+    for (const std::string& name : held.continued) put(pending_, name);
 }
 
 void SnapshotEncoder::turn(const std::string& id, const HeldTurn& held) {
--- a/src/storage_plane/turn_begin.cpp
+++ b/src/storage_plane/turn_begin.cpp
@@ -280,6 +280,7 @@
     void go_on() {
         BegunTurn begun{BeginStatus::ok, chain_.records()};
         if (!begun.chain.empty()) keep_chain(begun.chain);
+        remember_continued(start_.turn, programs_of(begun.chain));
         finish(std::move(begun));
     }
 
@@ -310,6 +311,14 @@
         end_here();
     }
 
+    // Other programs that the chain comes from, each once.
+    std::set<std::string> programs_of(const std::vector<wire::TurnRecord>& records) const {
+        std::set<std::string> programs;
+        for (const wire::TurnRecord& record : records) programs.insert(program_name(record));
+        programs.erase(start_.program);
+        return programs;
+    }
+
     // A chain lasts as long as its newest turn. Of this turn's own program its members hear by themselves,
     // from the reservation and from the copies of its end; of other programs that the chain comes from, and
     // where ledgers lie on groups, some don't.
--- a/src/storage_plane/turn_operation.hpp
+++ b/src/storage_plane/turn_operation.hpp
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <type_traits>
 #include <utility>
@@ -122,6 +123,10 @@
     void keep(KeptChain chain) { quorum_.kept_chains_.push_back(std::move(chain)); }
 
     void forget_ledger(const std::string& turn) { quorum_.without_ledger_.erase(turn); }
+    // Until the turn ends: its record names them.
+    void remember_continued(const std::string& turn, std::set<std::string> programs) {
+        if (!programs.empty()) quorum_.continued_[turn].assign(programs.begin(), programs.end());
+    }
 
     // Whatever is wrong: the exchange goes on later.
     void not_taken(Exchange& exchange, const Asked& asked, const TurnReply& reply, double now_ms);
--- a/src/storage_plane/turn_quorum.cpp
+++ b/src/storage_plane/turn_quorum.cpp
@@ -36,7 +36,11 @@
 
 std::uint64_t TurnQuorum::end(const TurnEnd& turn, double timeout_ms, double now_ms) {
     const bool has_ledger = without_ledger_.erase(turn.turn) == 0;
-    return start(end_operation(turn, has_ledger, now_ms, now_ms + timeout_ms), now_ms);
+    auto continued = continued_.extract(turn.turn);
+    if (!continued) return start(end_operation(turn, has_ledger, now_ms, now_ms + timeout_ms), now_ms);
+    TurnEnd end = turn;
+    end.record.__set_continued_programs(std::move(continued.mapped()));
+    return start(end_operation(end, has_ledger, now_ms, now_ms + timeout_ms), now_ms);
 }
 
 std::uint64_t TurnQuorum::start(std::unique_ptr<Operation> operation, double now_ms) {
--- a/src/storage_plane/turn_quorum.hpp
+++ b/src/storage_plane/turn_quorum.hpp
@@ -166,6 +166,8 @@
     std::set<std::int64_t> silent_;  // members whose latest call had no reply: others are preferred
     MemberPace pace_;                // to slow ones as well
     std::unordered_set<std::string> without_ledger_;  // turns under way whose programs state no budget
+    // Of turns under way: other programs that their chains come from.
+    std::unordered_map<std::string, std::vector<std::string>> continued_;
     std::priority_queue<Wake, std::vector<Wake>, std::greater<>> wakes_;
     std::deque<std::uint64_t> background_;
     std::vector<TurnEnd> cancellations_;
