Proxy: all requests that come early on a connection are answered, in order

The proxy leaves what is beyond the bound unread until its turn (the client's end is looked for meanwhile), and an answer is the last only if nothing has come behind it; in the last haste of a drain what is left is 503. What is in service keeps its way. Counters: closed_unanswered, closed_within_answer.

--- a/src/data_plane/ingress.cpp
+++ b/src/data_plane/ingress.cpp
@@ -61,7 +61,7 @@
     void out_of_time() override {
         if (reading()) return reject(408);
         if (const auto request = std::exchange(unrouted_, nullptr)) return own(503, kNotYet);
-        phase_ == Phase::idle ? end_idle() : close();
+        phase_ == Phase::idle ? end_idle() : close_on_request();
     }
     void hurried() override {
         if (const auto request = std::exchange(unrouted_, nullptr)) return own(503, kNotYet);
@@ -112,7 +112,7 @@
 
     void cut_off() override {
         exchange_.reset();
-        close();
+        close_on_request();
     }
     bool has_left() const override { return !door_ || has_gone(); }
     void fail() noexcept override {
@@ -133,6 +133,7 @@
     // ---- Reading ------------------------------------------------------------------------------------------
 
     bool ends_with_client() const override { return phase_ != Phase::answering || in_; }
+    bool answers_all_early() const override { return !door_->hurried(); }
 
     void begin() override {
         in_force_ = ingress_.in_force_();
@@ -178,6 +179,7 @@
         end_reading();
         try_id_ = view((*unrouted_)["Try-Id"]);
         wait_readable();
+        if (door_->hurried()) return own(503, kNotYet);
         if (in_force_) return send_on();
         ++ingress_.counters_.no_configuration;
         ingress_.unrouted_.push_back(std::static_pointer_cast<Client>(shared_from_this()));
@@ -254,7 +256,7 @@
         in->take(bytes.size());
         if (!in_ || !door_) return;
         const bool ended = in->ended() && in->bytes().empty();
-        if (ended && !in->whole() && out_.empty()) return close();
+        if (ended && !in->whole() && out_.empty()) return close_on_request();
         if (!out_.empty()) return write();
         if (ended) end_stream();
     }
@@ -262,9 +264,9 @@
     void end_stream() {
         ending_ = true;
         const auto exchange = std::exchange(exchange_, nullptr);
-        if (!exchange) return close();
+        if (!exchange) return close_on_request();
         exchange->finish([self = std::static_pointer_cast<Client>(shared_from_this())](bool may_end) {
-            if (self->door_) may_end ? self->say_end() : self->close();
+            if (self->door_) may_end ? self->say_end() : self->close_on_request();
         });
     }
     void say_end() {
@@ -274,6 +276,14 @@
         last_ = true;
         write();
     }
+    // Its request was read whole, and no whole answer comes.
+    void close_on_request() {
+        const bool has_request = phase_ == Phase::waiting || phase_ == Phase::answering;
+        if (has_request && !finishing())
+            ++(begun_ && phase_ == Phase::answering ? ingress_.counters_.closed_within_answer
+                                                    : ingress_.counters_.closed_unanswered);
+        close();
+    }
     Millis write_limit() const override { return kLongestWrite; }
     void answered() override { next(limits().idle_ms); }
 
--- a/src/data_plane/ingress.hpp
+++ b/src/data_plane/ingress.hpp
@@ -23,6 +23,9 @@
     };
     struct Counters {
         std::uint64_t no_configuration = 0, no_route = 0, rejected = 0;
+        // Requests that were read whole, and whose connections were closed on here: without a byte of an
+        // answer, or within it.
+        std::uint64_t closed_unanswered = 0, closed_within_answer = 0;
         bool operator==(const Counters&) const = default;
     };
     // In force at present; null: none yet.
--- a/src/data_plane/proxy.cpp
+++ b/src/data_plane/proxy.cpp
@@ -317,7 +317,8 @@
     text << "taken=" << e.taken << " served=" << e.served << " refused=" << e.refused
          << " failed=" << e.failed << " left=" << e.left << " gave_up_silence=" << e.gave_up_silence
          << " no_route=" << i.no_route << " no_configuration=" << i.no_configuration
-         << " rejected=" << i.rejected << " wrong_server=" << e.wrong_server
+         << " rejected=" << i.rejected << " closed_unanswered=" << i.closed_unanswered
+         << " closed_within_answer=" << i.closed_within_answer << " wrong_server=" << e.wrong_server
          << " foreign_answers=" << e.foreign_answers << " put_off=" << e.put_off << " turns=" << e.turns
          << " turns_refused=" << e.turns_refused << " turns_not_durable=" << e.turns_not_durable
          << " first_event_ms=" << host_.times.first_event.summary()
--- a/src/http/client_connection.hpp
+++ b/src/http/client_connection.hpp
@@ -64,6 +64,10 @@
     virtual void reject(unsigned status) = 0;
     // Whether a client whose end is seen takes nothing more of what is under way.
     virtual bool ends_with_client() const = 0;
+    // Whether all requests that come early are answered in their turn: what is beyond the bound stays unread
+    // meanwhile, and the connection ends behind an answer with none behind it. False: what is beyond the
+    // bound is dropped, and the answer is the last.
+    virtual bool answers_all_early() const { return false; }
     // Whether what is being read now is read on at once as accepting ends, and how often at the most.
     virtual bool reads_at_the_end() const { return reading(); }
     virtual int most_reads() const { return kMostReads; }
@@ -75,6 +79,7 @@
 
     void begin_reading(const Bounds& bounds) {
         phase_ = Phase::head;
+        held_up_ = false;
         bounds_ = bounds;
         head_is_read_ = head_request_ = false;
         scan_ = {};
@@ -104,7 +109,12 @@
 
     // Who waits for an answer, or takes it, is read on.
     void read_ahead() {
-        const Early early = read_early(pending_, keep_);
+        if (keep_ && answers_all_early() && pending_.size() >= kMostEarly) {
+            held_up_ = true;
+            return watch_end();
+        }
+        const Early early =
+            read_early(pending_, keep_, answers_all_early() ? kMostEarly + kOneRead : kMostEarly);
         if (early == Early::ended && ends_with_client()) return close();
         if (early != Early::kept) end_after_answer();  // which who has ended its sending may still take
         if (early != Early::ended) wait_readable();
@@ -159,8 +169,11 @@
     void begin_answering() {
         phase_ = Phase::answering;
         begun_ = false;
-        keep_ = keep_ && !door_->draining() && door_->stays(*this);
+        const bool may_stay = !door_->draining() && door_->stays(*this);
+        keep_ = keep_ && (may_stay || (answers_all_early() && has_come_early()));
     }
+    // Something of a further request, read or not.
+    bool has_come_early() const { return !pending_.empty() || !unread(); }
 
     // Of broken(): what was being read is refused, what was not answered yet has failed, else the bytes end.
     void say_broken(bool refused, bool failed) noexcept {
@@ -184,7 +197,9 @@
 
 private:
     static constexpr int kMostReads = 16;
+    static constexpr std::size_t kOneRead = 16 * 1024;  // bytes, of the door's buffer
 
+    bool held_up() const override { return held_up_; }
     void readable(error_code) override {
         if (phase_ == Phase::idle) return begin();
         if (reading() || reads_body_late()) return read();
@@ -235,6 +250,7 @@
 
     Bounds bounds_;
     HeadScan scan_;
+    bool held_up_ = false;  // what has come early is left unread for now
     bool head_is_read_ = false;
 };
 
--- a/src/listen/door.cpp
+++ b/src/listen/door.cpp
@@ -26,10 +26,10 @@
 // How long the client's end is awaited after a last answer; longer where it may still be sending, or has not
 // got all of the answer.
 constexpr Millis kLinger = 300, kLongLinger = 2500;
-constexpr Millis kLook = 50;                   // between looks for the end of who is held up
-constexpr std::size_t kMostEarly = 16 * 1024;  // of what a client sends ahead of its answer
-constexpr int kLastReads = 8;                  // of what a client has sent, ahead of its connection's close
-constexpr Millis kHaste = 500;                 // of a drain in haste, for answers to be taken
+constexpr Millis kLook = 50;  // between looks for the end of who is held up
+
+constexpr int kLastReads = 8;   // of what a client has sent, ahead of its connection's close
+constexpr Millis kHaste = 500;  // of a drain in haste, for answers to be taken
 
 class SteadyTime final : public TimeSource {
 public:
@@ -118,12 +118,12 @@
     return {door_->scratch_.data(), size};
 }
 
-Door::Guest::Early Door::Guest::read_early(std::string& pending, bool wanted) noexcept {
+Door::Guest::Early Door::Guest::read_early(std::string& pending, bool wanted, std::size_t most) noexcept {
     error_code error;
     const std::string_view bytes = receive(error);
     if (error == asio::error::would_block) return Early::kept;
     if (error) return Early::ended;
-    if (!wanted || pending.size() + bytes.size() > kMostEarly) return Early::unwanted;
+    if (!wanted || pending.size() + bytes.size() > most) return Early::unwanted;
     try {
         pending.append(bytes);
         return Early::kept;
--- a/src/listen/door.hpp
+++ b/src/listen/door.hpp
@@ -75,7 +75,8 @@
         // Who waits for its answer, or takes it, is read on, so that its end is seen behind whatever it sends
         // early. Appends that to `pending`; what is not wanted, or too much, is dropped.
         enum class Early { kept, unwanted, ended };
-        Early read_early(std::string& pending, bool wanted) noexcept;
+        static constexpr std::size_t kMostEarly = 16 * 1024;  // bytes that a client sends ahead of its answer
+        Early read_early(std::string& pending, bool wanted, std::size_t most = kMostEarly) noexcept;
         // Closing over unread bytes would reset the connection and could take the answer with it: a
         // half-close, then a linger, in which the client's end is awaited and what it still sends is dropped.
         void finish(bool may_be_sending);
@@ -161,6 +162,7 @@
     // The same, and whoever is left after a moment is cut off.
     void hurry();
     bool draining() const { return draining_; }
+    bool hurried() const { return hurried_; }
     // Nothing new is taken any more, on kept connections neither.
     bool shut() const { return !acceptor_.is_open(); }
 
