Tests: a soak in which losses overlap and disks go one at a time

Programs go on from turns of others that are young enough, four in ten of them. A disk goes only of a machine that has run for syncS itself: what it alone has can't be saved otherwise.

--- a/tests/tier/system/system_test.cpp
+++ b/tests/tier/system/system_test.cpp
@@ -151,5 +151,24 @@
 
 INSTANTIATE_TEST_SUITE_P(Seeds, Soak, ::testing::Values(43, 7, 6, 8));
 
+// LOST: disks lost one at a time while other machines with disks are killed or frozen, and one more as
+// everything ends.
+class LossSoak : public ::testing::TestWithParam<std::uint64_t> {};
+
+TEST_P(LossSoak, KeepsEveryRule) {
+    DayOptions options = day(16000);
+    options.tier.bounds.recovery = 8000;
+    make_loss_soak(options, GetParam());
+    Rig rig(options);
+    const DayResult result = rig.play();
+    EXPECT_TRUE(result.started);
+    for (const Finding& finding : result.findings) ADD_FAILURE() << finding.rule << ": " << finding.what;
+    EXPECT_GT(result.faults_done, 5);
+    EXPECT_GT(result.tally.turns_whole, 0);
+    if (HasFailure()) std::cout << result.words();
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, LossSoak, ::testing::Values(1, 2, 3));
+
 }  // namespace
 }  // namespace whinledge::tier_rig
--- a/tools/tier/main.cpp
+++ b/tools/tier/main.cpp
@@ -22,7 +22,8 @@
     "killed|wiped]\n"
     "                   [--zones 3] [--edges 2] [--cores 1] [--storage 1] [--rate 20] [--programs 3] [--seed "
     "1]\n"
-    "                   [--changes 2.5] [--runaways 0.1] [--served 0.9] [--soak] [--keys] [--keep] "
+    "                   [--changes 2.5] [--runaways 0.1] [--served 0.9] [--soak] [--losses] [--keys] "
+    "[--keep] "
     "[--quiet]\n"
     "  --bin       has whinledge-proxy, whinledge-control and whinledge-storage; else the program's own "
     "folder\n"
@@ -41,6 +42,9 @@
     "  --soak      signals, restarts and changes in series, drawn from the seed; even seeds have kills and "
     "lost "
     "disks too\n"
+    "  --losses    kills and freezes that overlap, disks lost one at a time, drawn from the seed, as are "
+    "zones and "
+    "machines\n"
     "  --served    share of the requests that must be served for status 0\n"
     "  --keys      k kills a process, f freezes one, w wipes a storage machine, t sends SIGTERM, q ends\n"
     "  --keep      keeps settings, logs and data;  --quiet: only the last lines\n";
@@ -121,6 +125,7 @@
     day.keeps_folder = words.has("--keep");
     for (const std::string& fault : words.all("--fault")) day.faults.push_back(parse_fault(fault));
     if (words.has("--soak")) make_soak(day, day.seed);
+    if (words.has("--losses")) make_loss_soak(day, day.seed);
     const std::string final_fault = words.get("--final", "");
     if (final_fault == "killed")
         day.final_fault = FinalFault::all_killed;
@@ -153,7 +158,7 @@
                          {"--bin", "--newer", "--seconds", "--fault", "--final", "--zones", "--edges",
                           "--cores", "--storage", "--rate", "--programs", "--seed", "--changes", "--runaways",
                           "--served", "--server-faults"},
-                         {"--keys", "--keep", "--quiet", "--soak"}));
+                         {"--keys", "--keep", "--quiet", "--soak", "--losses"}));
     } catch (const tools::UsageError& error) {
         std::cerr << "whinledge_tier_rig: " << error.what() << '\n' << tier_rig::kHelp;
         return 2;
--- a/tools/tier/rig.cpp
+++ b/tools/tier/rig.cpp
@@ -298,9 +298,9 @@
         plan.tools = {ask_for("/find/"), ask_for("/book/")};
         plan.turns = 2 + world_.below(2);
         plan.runaway = world_.chance(options_.runaways);
-        if (!old_turns_.empty() && world_.chance(recovering_ ? 0.6 : 0.1))
+        if (!old_turns_.empty() && world_.chance(recovering_ ? 0.6 : options_.continuing_programs))
             plan.continues =
-                old_turns_[static_cast<std::size_t>(world_.below(static_cast<int>(old_turns_.size())))];
+                old_turns_[static_cast<std::size_t>(world_.below(static_cast<int>(old_turns_.size())))].id;
         const auto result = std::make_shared<ProgramResult>();
         programs_.push_back(result);
         // Some lines come in through another zone.
@@ -309,8 +309,10 @@
         ++open_;
         co_await run_program(world_, *platform_, zone_name, plan, result);
         --open_;
-        if (!recovering_ && old_turns_.size() < 200)
-            old_turns_.insert(old_turns_.end(), result->turns.begin(), result->turns.end());
+        for (const std::string& turn : result->turns)
+            if (!recovering_) old_turns_.push_back({turn, world_.now()});
+        const Millis kept_since = world_.now() - options_.keep_for_s * 1000;
+        while (!old_turns_.empty() && old_turns_.front().ended < kept_since) old_turns_.pop_front();
         if (!result->fault.empty()) co_await sleep_for(world_, 300);
     }
 }
@@ -344,6 +346,7 @@
         route("/agent/", RouteKind::streaming, {"chat"}), route("/plain/", RouteKind::streaming, {"chat"}),
         route("/find/", RouteKind::repeatable, {"search"}), route("/book/", RouteKind::one_shot, {"files"})};
     routes[0].remembered = true;
+    routes[0].keep_for_s = options_.keep_for_s;
     static const std::array<std::vector<std::string>, 3> kMoves{{{"search"}, {"files"}, {"search", "files"}}};
     routes.push_back(route("/moved/", RouteKind::repeatable, kMoves[static_cast<std::size_t>(change) % 3]));
     for (int added = std::max(0, change - 1); added <= change; ++added)
--- a/tools/tier/rig.hpp
+++ b/tools/tier/rig.hpp
@@ -2,6 +2,7 @@
 // promised and kept.
 #pragma once
 
+#include <deque>
 #include <filesystem>
 #include <functional>
 #include <memory>
@@ -35,18 +36,26 @@
 };
 
 // What is done to a machine. `target` is a machine's name, or a class (edge, core, storage): then any of it;
-// edges: all of them at once; all: every machine, one after the other.
+// edges, cores, storages, machines: all of them at once; all: every machine, one after the other.
 struct Fault {
     Millis at = 0;  // since traffic began
     Deed deed = Deed::kill;
     std::string target;
     Millis lasts = 1000;  // until it is started again or thawed
+    // It waits for no other loss; one of a disk waits for other disks alone.
+    bool overlaps = false;
+    std::string beside{};  // of one of a disk: machines that are killed at the same moment; empty: none
 };
 // AT:DEED:TARGET[:LASTS], times in seconds, such as 3:kill:core-aber-1 or 5:wipe:storage:2. Throws
 // std::invalid_argument with a text for the user.
 Fault parse_fault(const std::string& words);
 
-enum class FinalFault { none, all_killed, all_killed_and_one_wiped };
+enum class FinalFault {
+    none,
+    all_killed,
+    all_killed_and_one_wiped,      // a storage machine, ahead of which nothing else is lost
+    all_killed_and_any_disk_lost,  // a core or storage machine's, whatever was lost before
+};
 
 struct DayOptions {
     Tier::Options tier;  // its folder, subnet and list's address are filled in
@@ -56,12 +65,14 @@
     double runaways = 0.1;        // share of programs
     Millis changes_every = 2500;  // of the configuration; 0: none
     bool races = true, invalid_ones = true;
-    double leaving_clients = 0.03;  // share of requests whose client leaves early
-    int steady_clients = 8;         // in each zone, that keep their connections
-    double keeps_connection = 0.5;  // share of requests that are theirs
-    int busy_clients = 0;           // in each zone: one request after the other on a kept connection
-    double slowness = 1;            // of servers: a multiple of their times
-    double server_faults = 0;       // share of runs that a server answers 500, and of those it breaks off
+    double leaving_clients = 0.03;     // share of requests whose client leaves early
+    double continuing_programs = 0.1;  // share of programs that go on from another's turn
+    double keep_for_s = 60;            // of turns
+    int steady_clients = 8;            // in each zone, that keep their connections
+    double keeps_connection = 0.5;     // share of requests that are theirs
+    int busy_clients = 0;              // in each zone: one request after the other on a kept connection
+    double slowness = 1;               // of servers: a multiple of their times
+    double server_faults = 0;          // share of runs that a server answers 500, and of those it breaks off
     std::vector<Fault> faults;
     // What would leave fewer than half of the sidecars up is left out.
     bool spares_half_of_edges = false;
@@ -128,6 +139,10 @@
     void tell_controls() const;
     Task<void> tell();
     std::string pick(const std::string& target);
+    std::string pick_for(const Fault& fault);
+    std::vector<std::string> group(const std::string& target) const;
+    Task<bool> may_strike(const Fault& fault);
+    Task<std::string> await_lost_disk(std::vector<MachineClass> kinds);
     bool is_spared(const Fault& fault, const Machine& machine) const;
     std::vector<RouteSpec> routes_of(int change) const;
     bool servers_idle(const std::string& path) const;
@@ -144,7 +159,11 @@
     std::unique_ptr<Operator> operator_;
     std::vector<std::shared_ptr<Server>> servers_;
     std::vector<std::shared_ptr<ProgramResult>> programs_;
-    std::vector<std::string> old_turns_;
+    struct OldTurn {
+        std::string id;
+        Millis ended = 0;
+    };
+    std::deque<OldTurn> old_turns_;  // that programs may go on from, oldest first
     struct DoneDeed {
         std::string machine;
         Deed deed;
--- a/tools/tier/rig_faults.cpp
+++ b/tools/tier/rig_faults.cpp
@@ -85,6 +85,42 @@
     return target;
 }
 
+// All that run of a class, or of both with disks.
+std::vector<std::string> Rig::group(const std::string& target) const {
+    std::vector<MachineClass> kinds;
+    if (target == "edges") kinds = {MachineClass::edge};
+    if (target == "cores") kinds = {MachineClass::core};
+    if (target == "storages") kinds = {MachineClass::storage};
+    if (target == "machines") kinds = {MachineClass::core, MachineClass::storage};
+    std::vector<std::string> all;
+    for (const MachineClass kind : kinds)
+        for (const std::string& name : tier_->names(kind)) all.push_back(name);
+    return all;
+}
+
+std::string Rig::pick_for(const Fault& fault) {
+    if (!fault.overlaps || fault.deed != Deed::wipe) return pick(fault.target);
+    const auto all = tier_->have_synced(class_of(fault.target));
+    return all.empty() ? "" : all[static_cast<std::size_t>(world_.below(static_cast<int>(all.size())))];
+}
+
+// Once it may; false: not in time.
+Task<bool> Rig::may_strike(const Fault& fault) {
+    if (class_of(fault.target) == MachineClass::edge || fault.deed == Deed::hang_up) co_return true;
+    const bool takes_disk =
+        fault.deed == Deed::wipe || fault.deed == Deed::replace || fault.deed == Deed::remove;
+    if (fault.overlaps && !takes_disk) co_return true;
+    const bool for_disk = fault.overlaps;
+    const MachineClass kind = class_of(fault.target);
+    const bool may = co_await await(
+        [this, for_disk, kind] {
+            if (!for_disk) return tier_->may_lose_one() || world_.ending;
+            return (tier_->may_lose_disk() && !tier_->have_synced(kind).empty()) || world_.ending;
+        },
+        kLossLimit);
+    co_return may && !world_.ending;
+}
+
 bool Rig::is_spared(const Fault& fault, const Machine& machine) const {
     if (!options_.spares_half_of_edges || machine.kind != MachineClass::edge) return false;
     if (fault.deed == Deed::hang_up || fault.deed == Deed::throttle) return false;
@@ -113,22 +149,22 @@
         tier_->add(class_of(fault.target), options_.tier.zones.front());
         co_return;
     }
-    if (fault.target == "edges") {  // all of them at once: they don't count
-        for (const std::string& edge : tier_->names(MachineClass::edge))
-            begin(world_, do_fault({0, fault.deed, edge, fault.lasts}));
+    if (const auto all = group(fault.target); !all.empty()) {
+        for (const std::string& name : all)
+            begin(world_, do_fault({0, fault.deed, name, fault.lasts, fault.overlaps, {}}));
         co_return;
     }
     if (fault.target == "all") {
         co_await roll(fault);
         co_return;
     }
-    if (class_of(fault.target) != MachineClass::edge && fault.deed != Deed::hang_up) {
-        const bool may =
-            co_await await([this] { return tier_->may_lose_one() || world_.ending; }, kLossLimit);
-        if (!may || world_.ending) co_return;
-    }
+    const bool may = co_await may_strike(fault);
+    if (!may) co_return;
     // Drawn behind the wait: what was drawn ahead of it may have gone meanwhile.
-    const std::string name = pick(fault.target);
+    const std::string name = pick_for(fault);
+    if (name.empty()) co_return;
+    for (const std::string& other : group(fault.beside))
+        if (other != name) begin(world_, do_fault({0, Deed::kill, other, fault.lasts, true, {}}));
     const Machine* const machine = tier_->find(name);
     if (machine && is_spared(fault, *machine)) co_return;
     if (!machine) {
@@ -243,8 +279,29 @@
     return words;
 }
 
+// The machine whose disk is lost with the end of all others.
+Task<std::string> Rig::await_lost_disk(std::vector<MachineClass> kinds) {
+    const auto candidates = [this, &kinds] {
+        std::vector<std::string> all;
+        for (const MachineClass kind : kinds)
+            for (const std::string& name : tier_->have_synced(kind)) all.push_back(name);
+        return all;
+    };
+    co_await await([&] { return tier_->may_lose_disk() && !candidates().empty(); }, kLossLimit);
+    const std::vector<std::string> all = candidates();
+    if (all.empty() || !tier_->may_lose_disk()) co_return std::string();
+    co_return all[static_cast<std::size_t>(world_.below(static_cast<int>(all.size())))];
+}
+
 Task<void> Rig::do_final_fault() {
-    co_await await([this] { return tier_->may_lose_one(); }, kLossLimit);
+    std::string lost;
+    std::vector<MachineClass> kinds;
+    kinds.push_back(MachineClass::core);
+    kinds.push_back(MachineClass::storage);
+    if (options_.final_fault == FinalFault::all_killed_and_any_disk_lost)
+        lost = co_await await_lost_disk(kinds);
+    else
+        co_await await([this] { return tier_->may_lose_one(); }, kLossLimit);
     std::vector<std::string> all;
     for (const MachineClass kind : {MachineClass::edge, MachineClass::core, MachineClass::storage})
         for (const std::string& name : tier_->names(kind)) all.push_back(name);
@@ -258,6 +315,7 @@
                 break;
             }
     }
+    if (!lost.empty()) tier_->wipe(lost);
     co_await sleep_for(world_, kDownBetween);
     for (const std::string& name : all) tier_->start(name);
     world_.record.back_up = world_.now();
--- a/tools/tier/soak.cpp
+++ b/tools/tier/soak.cpp
@@ -72,8 +72,53 @@
         day.faults.push_back({at, Deed::stall, draw.any_of(kTargets), draw.any_of(kLengths)});
 }
 
+// Of storage and control processes, whatever else is down: only disks are lost one at a time.
+void add_overlapping_losses(DayOptions& day, Draw& draw) {
+    static constexpr const char* kTargets[] = {"storage", "storage", "core"};
+    static constexpr const char* kGroups[] = {"storages", "storages", "cores", "machines"};
+    static constexpr const char* kBeside[] = {"", "storages", "cores", "machines"};
+    static constexpr Millis kFrozen[] = {2000, 9000, 15'000};
+    static constexpr Millis kDown[] = {300, 1000, 5000, 12'000};
+    static constexpr Millis kBetween[] = {300, 1000, 3000};
+    for (Millis at = 3000; at < day.traffic - kCalmAtTheEnd; at += draw.any_of(kBetween)) {
+        Fault fault{at, Deed::kill, draw.any_of(kTargets), draw.any_of(kDown), true, {}};
+        const double kind = draw.between(0, 1);
+        const bool of_one = kind < 0.3 || kind >= 0.75;
+        if (kind < 0.3) {
+            fault.deed = Deed::freeze;
+            fault.lasts = draw.any_of(kFrozen);
+        } else if (kind < 0.55) {
+            fault.deed = Deed::wipe;
+            fault.lasts = 1000;
+            fault.beside = draw.any_of(kBeside);
+        } else if (kind < 0.75) {
+            fault.target = draw.any_of(kGroups);
+            fault.lasts = draw.chance(0.7) ? 500 : 3000;
+        }
+        day.faults.push_back(fault);
+        if (of_one && draw.chance(0.6)) day.faults.push_back(fault);  // of another one as well
+    }
+}
+
 }  // namespace
 
+void make_loss_soak(DayOptions& day, std::uint64_t seed) {
+    static constexpr double kKeepForS[] = {10, 20, 40};
+    static constexpr int kStores[] = {1, 1, 2};
+    Draw draw(seed);
+    day.seed = seed;
+    day.spares_half_of_edges = true;
+    day.keep_for_s = draw.any_of(kKeepForS);
+    day.continuing_programs = 0.4;
+    day.changes_every = draw.between(500, 2500);
+    day.tier.zones = {"aber", "bole", "cray", "dale"};
+    if (draw.chance(0.5)) day.tier.zones.push_back("elm");
+    day.tier.edges = 1;
+    day.tier.stores = draw.any_of(kStores);
+    add_overlapping_losses(day, draw);
+    day.final_fault = FinalFault::all_killed_and_any_disk_lost;
+}
+
 void make_soak(DayOptions& day, std::uint64_t seed) {
     Draw draw(seed);
     day.seed = seed;
--- a/tools/tier/soak.hpp
+++ b/tools/tier/soak.hpp
@@ -12,4 +12,9 @@
 // disks and replaced machines as well, and every fourth seed of all ends with a final fault.
 void make_soak(DayOptions& day, std::uint64_t seed);
 
+// Control and storage processes are killed and frozen whatever else is lost, disks are lost one at a time
+// meanwhile, and at the end one goes as all processes are killed. Programs go on from each other's turns.
+// Zones, machines, `keepForS` and the rate of changes are drawn as well.
+void make_loss_soak(DayOptions& day, std::uint64_t seed);
+
 }  // namespace whinledge::tier_rig
--- a/tools/tier/tier.cpp
+++ b/tools/tier/tier.cpp
@@ -268,6 +268,7 @@
     spawn(*machine);
     machine->up = true;
     machine->again = 0;
+    machine->runs_since = world_.now();
     ++machine->incarnation;
     close_trouble(*machine);
     if (machine->kind == MachineClass::edge)
@@ -308,6 +309,7 @@
     Machine* const machine = known(name);
     if (!machine || machine->pid <= 0 || !machine->frozen) return false;
     machine->frozen = false;
+    machine->runs_since = world_.now();
     ::kill(machine->pid, SIGCONT);
     close_trouble(*machine);
     return true;
@@ -377,6 +379,7 @@
     Machine* const machine = known(name);
     if (!machine || machine->data_folder.empty()) return false;
     kill(name);
+    machine->disk_is_new = true;
     for (const auto& entry : std::filesystem::directory_iterator(machine->data_folder))
         std::filesystem::remove_all(entry.path());
     return true;
@@ -429,6 +432,29 @@
     return static_cast<int>(lost.size()) < options_.machine_losses;
 }
 
+bool Tier::has_synced(const Machine& machine) const {
+    return machine.up && machine.pid > 0 && !machine.frozen && world_.now() - machine.runs_since > kSync;
+}
+
+bool Tier::may_lose_disk() {
+    int lost = 0;
+    for (auto& [name, machine] : machines_) {
+        if (machine.removed || !machine.disk_is_new) continue;
+        if (has_synced(machine))
+            machine.disk_is_new = false;
+        else
+            ++lost;
+    }
+    return lost < options_.machine_losses;
+}
+
+std::vector<std::string> Tier::have_synced(MachineClass kind) const {
+    std::vector<std::string> all;
+    for (const auto& [name, machine] : machines_)
+        if (machine.kind == kind && !machine.removed && has_synced(machine)) all.push_back(name);
+    return all;
+}
+
 void Tier::reap(Machine& machine) {
     int status = 0;
     if (::waitpid(machine.pid, &status, WNOHANG) != machine.pid) return;
--- a/tools/tier/tier.hpp
+++ b/tools/tier/tier.hpp
@@ -46,6 +46,8 @@
     int own_ends = 0;
     Trouble* trouble = nullptr;  // the open one
     Millis again = 0;            // when an own end is answered by a start; 0: not
+    Millis runs_since = 0;       // without a break, while it runs
+    bool disk_is_new = false;    // it was lost, and its machine has not run for `syncS` since
     std::string settings_path, data_folder, log_path;
     std::string stall_path;  // while this file is there its disk is stalled
 };
@@ -102,6 +104,12 @@
     // Whether one more machine that counts may be lost now: of those, no more are down, frozen, or back for
     // less than `syncS` than `survive` allows.
     bool may_lose_one() const;
+    // Whether one more disk may be lost now, whatever else is down or frozen: machines whose disks were lost
+    // have run for `syncS` without a break, all but as many as `survive` allows.
+    bool may_lose_disk();
+    // Of a class, those whose disk may go: they have run for `syncS` themselves, and may have given away what
+    // they alone have.
+    std::vector<std::string> have_synced(MachineClass kind) const;
     // Records how long each sidecar has waited for a processor since the last look, which was at `since`.
     void look_at_processors(Millis since);
 
@@ -118,6 +126,7 @@
     void close_trouble(Machine& machine);
     Task<void> supervise();
     Task<void> end_after_grace(std::string name, int incarnation);
+    bool has_synced(const Machine& machine) const;
     void reap(Machine& machine);
     void end(Machine& machine, int signal);
     std::string seeds() const;
