--- a/src/storage_plane/turn_quorum.cpp
+++ b/src/storage_plane/turn_quorum.cpp
@@ -39,7 +39,8 @@
     auto continued = continued_.extract(turn.turn);
     if (!continued) return start(end_operation(turn, has_ledger, now_ms, now_ms + timeout_ms), now_ms);
     TurnEnd end = turn;
-    end.record.__set_continued_programs(std::move(continued.mapped()));
+    end.record.continued_programs = std::move(continued.mapped());
+    end.record.__isset.continued_programs = true;
     return start(end_operation(end, has_ledger, now_ms, now_ms + timeout_ms), now_ms);
 }
 
