Storage: a full member still takes the ledgers that came with refused copies

Cause (by reading the change once more): where copies are refused for want of room, the ledgers that came in the same reply were refused with them, and the position went past both, so a full member might have voted on ledgers that it lacks. Change: the copies alone are left out; the ledgers are fetched once more without them, and the page fails as before where even these find no room. No test of its own: by reading.

--- a/src/storage_plane/repair.cpp
+++ b/src/storage_plane/repair.cpp
@@ -17,6 +17,10 @@
 constexpr std::size_t kPeersComparedAtPace = 4;
 constexpr int kMismatchesBeforeRescan = 3;
 
+bool has_more(const std::set<std::int64_t>& now, const std::set<std::int64_t>& before) {
+    return !std::includes(before.begin(), before.end(), now.begin(), now.end());
+}
+
 }  // namespace
 
 Repair::Repair(StorageNode& node, PeerCalls& peers, Options options)
@@ -75,14 +79,6 @@
     others_ = others();
 }
 
-namespace {
-
-bool has_more(const std::set<std::int64_t>& now, const std::set<std::int64_t>& before) {
-    return !std::includes(before.begin(), before.end(), now.begin(), now.end());
-}
-
-}  // namespace
-
 StorageNode::Others Repair::others() const { return {reach_.unable(), reach_.doubted()}; }
 
 // Copies that a member which can't take them was to take are lacking here, perhaps; and those that were left
@@ -174,6 +170,15 @@
     peer.incomplete = left_out_ = true;
 }
 
+// What came was refused for want of room, ledgers with it: whoever votes needs these all the same.
+void Repair::fetch_without_copies(const std::shared_ptr<Peer>& peer, std::size_t refused,
+                                  const std::vector<std::string>& programs) {
+    counts_.left_out += refused;
+    peer->incomplete = left_out_ = true;
+    peer->differing.insert(peer->differing.end(), programs.begin(), programs.end());
+    fetch_next(peer);
+}
+
 void Repair::fetch_next(const std::shared_ptr<Peer>& peer) {
     wire::FetchRequest request;
     request.run = peer->run;
@@ -212,13 +217,12 @@
                         alive = alive_](rpc::Result<wire::FetchReply> reply) {
                            if (!*alive || epoch != epoch_ || peers_[peer->member.identity] != peer) return;
                            const bool some = reply && reply.value().status == wire::StorageStatus::ok;
-                           const auto finished = [this, peer, epoch, ids, some, alive = alive_](bool synced) {
+                           const auto finished = [this, peer, epoch, ids, programs, some,
+                                                  alive = alive_](bool synced) {
                                if (!*alive || epoch != epoch_) return;
                                for (const std::string& id : ids) fetching_.erase(id);
-                               if (some && !synced && node_.is_full()) {
-                                   peer->incomplete = left_out_ = true;
-                                   return fetch_next(peer);
-                               }
+                               if (some && !synced && !ids.empty() && node_.is_full())
+                                   return fetch_without_copies(peer, ids.size(), programs);
                                if (!some || !synced) return finish_page(peer, false);
                                fetch_next(peer);
                            };
--- a/src/storage_plane/repair.hpp
+++ b/src/storage_plane/repair.hpp
@@ -82,6 +82,8 @@
     void look_for_copies_anew();
     void follow_anew(Peer& peer);
     void leave_out(Peer& peer);
+    void fetch_without_copies(const std::shared_ptr<Peer>& peer, std::size_t refused,
+                              const std::vector<std::string>& programs);
     void note_reach(std::int64_t identity, const rpc::Result<wire::ChangesReply>& reply);
     void ask(const std::shared_ptr<Peer>& peer);
     void take_page(const std::shared_ptr<Peer>& peer, const wire::ChangesReply& reply);
